--- /dev/null
+++ b/lib/gen-protos/src/main.rs
@@ -0,0 +1,19 @@
+//! Generates the operator RPC code from the schema; run by hand, its output is committed.
+
+use std::io::Error;
+use std::io::Result;
+use std::path::Path;
+
+fn main() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let protoc = protoc_bin_vendored::protoc_bin_path().map_err(Error::other)?;
+    let mut config = tonic_prost_build::Config::new();
+    config.protoc_executable(protoc);
+    tonic_prost_build::configure()
+        .out_dir(root.join("lib/src/generated"))
+        .compile_with_config(
+            config,
+            &[root.join("proto/operator.proto")],
+            &[root.join("proto")],
+        )
+}
--- /dev/null
+++ b/lib/src/record.rs
@@ -0,0 +1,329 @@
+//! Records of the platform's log.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::base64::Base64;
+use serde_with::serde_as;
+
+use crate::AttemptId;
+use crate::Customer;
+use crate::CustomerName;
+use crate::Endpoint;
+use crate::EndpointName;
+use crate::Epoch;
+use crate::Move;
+use crate::MoveName;
+use crate::MoveResult;
+use crate::NodeName;
+use crate::Offset;
+use crate::RecordId;
+use crate::RequestId;
+use crate::Service;
+use crate::ServiceName;
+use crate::Timestamp;
+
+/// The log streams that the system uses.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stream {
+    /// Calls that may not be repeated.
+    Claims,
+    /// Services, endpoints, customers and moves.
+    Config,
+    /// Accepted deferred requests and their results.
+    Deferred,
+    /// Leases on duties.
+    Leases,
+}
+
+impl Stream {
+    /// Returns the stream's name at the log service.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Claims => "claims",
+            Self::Config => "config",
+            Self::Deferred => "deferred",
+            Self::Leases => "leases",
+        }
+    }
+}
+
+/// One record with its identity and writer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Envelope {
+    /// Identity, kept when the append is retried.
+    pub id: RecordId,
+    /// Node that wrote the record.
+    pub writer: NodeName,
+    /// Writer's wall time.
+    pub at: Timestamp,
+    /// Content.
+    pub body: Body,
+}
+
+/// A record with its position.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Record {
+    /// Position in its stream.
+    pub offset: Offset,
+    /// Content with its identity.
+    pub envelope: Envelope,
+}
+
+/// Content of a record.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "type", content = "value")]
+pub enum Body {
+    /// A part of a stream's state as of an offset.
+    Checkpoint(CheckpointPart),
+    /// A change of a claim.
+    Claim(ClaimChange),
+    /// A change of configuration.
+    Config(ConfigChange),
+    /// A change of a deferred request.
+    Deferred(DeferredChange),
+    /// A change of a lease.
+    Lease(LeaseChange),
+}
+
+/// A part of a stream's state as of an offset.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CheckpointPart {
+    /// The state covers every record up to and including this offset.
+    pub as_of: Offset,
+    /// Hash (xxh3, 64 bits) of the whole serialised state.
+    pub hash: u64,
+    /// Index of this part, from zero.
+    pub index: u32,
+    /// Number of parts.
+    pub count: u32,
+    /// Slice of the serialised state (JSON text).
+    pub data: String,
+}
+
+/// A change of configuration.
+///
+/// `base` is the revision of the object that the change was made against; `None` creates
+/// the object. The revision of an object is the offset of the record that last changed it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum ConfigChange {
+    /// Ends a move at an operator's request.
+    CancelMove {
+        /// Move to end.
+        name: MoveName,
+    },
+    /// Removes a customer.
+    DeleteCustomer {
+        /// Revision that the change was made against.
+        base: Offset,
+        /// Customer to remove.
+        name: CustomerName,
+    },
+    /// Removes an endpoint.
+    DeleteEndpoint {
+        /// Revision that the change was made against.
+        base: Offset,
+        /// Endpoint to remove.
+        name: EndpointName,
+    },
+    /// Removes a service with its endpoints.
+    DeleteService {
+        /// Revision that the change was made against.
+        base: Offset,
+        /// Service to remove.
+        name: ServiceName,
+    },
+    /// Ends a move with its result; only the first end of a move counts.
+    EndMove {
+        /// Move to end.
+        name: MoveName,
+        /// Result.
+        result: MoveResult,
+        /// Reason for the reader.
+        reason: String,
+    },
+    /// Creates or replaces a customer.
+    PutCustomer {
+        /// Revision that the change was made against.
+        base: Option<Offset>,
+        /// New value.
+        customer: Customer,
+    },
+    /// Creates or replaces an endpoint.
+    PutEndpoint {
+        /// Revision that the change was made against.
+        base: Option<Offset>,
+        /// New value.
+        endpoint: Endpoint,
+    },
+    /// Creates or replaces a service.
+    PutService {
+        /// Revision that the change was made against.
+        base: Option<Offset>,
+        /// New value.
+        service: Service,
+    },
+    /// Starts a move.
+    StartMove {
+        /// Revision of the service that the change was made against.
+        base: Offset,
+        /// Move to start.
+        spec: Move,
+    },
+}
+
+/// What a lease is held for.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Duty {
+    /// Fleet and moves of a service.
+    Service(ServiceName),
+}
+
+/// A change of a lease. The offset of the record that granted it is its epoch.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum LeaseChange {
+    /// Asks for the lease; granted when `previous` is still the newest epoch.
+    Acquire {
+        /// What the lease is held for.
+        duty: Duty,
+        /// Epoch that the candidate saw lapse or released; `None` when there was none.
+        previous: Option<Epoch>,
+        /// Length of the term.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        term: Duration,
+    },
+    /// Ends the lease early.
+    Release {
+        /// What the lease is held for.
+        duty: Duty,
+        /// Epoch of the lease.
+        epoch: Epoch,
+    },
+    /// Extends the lease by a term.
+    Renew {
+        /// What the lease is held for.
+        duty: Duty,
+        /// Epoch of the lease.
+        epoch: Epoch,
+        /// Length of the term.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        term: Duration,
+    },
+}
+
+/// Identity of a call that may not be repeated.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ClaimKey {
+    /// Customer that made the call.
+    pub customer: CustomerName,
+    /// Service that it calls.
+    pub service: ServiceName,
+    /// The caller's idempotency key.
+    pub key: String,
+}
+
+/// A whole answer kept for resends.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredReply {
+    /// HTTP status code.
+    pub status: u16,
+    /// Headers that the caller gets.
+    pub headers: IndexMap<String, String>,
+    /// Body.
+    #[serde_as(as = "Base64")]
+    pub body: Vec<u8>,
+}
+
+/// A change of a claim.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum ClaimChange {
+    /// Records that the attempt's result will never be known.
+    Abandon {
+        /// Call.
+        key: ClaimKey,
+        /// Attempt that held the claim.
+        attempt: AttemptId,
+    },
+    /// Claims the right to run the call; the first in log order holds it.
+    Acquire {
+        /// Call.
+        key: ClaimKey,
+        /// Attempt that would run the call.
+        attempt: AttemptId,
+        /// Node of the gate that would run the call.
+        gate: NodeName,
+        /// Digest (xxh3, 64 bits) of method, path and body.
+        digest: u64,
+    },
+    /// Records the answer of the call.
+    Finish {
+        /// Call.
+        key: ClaimKey,
+        /// Attempt that ran the call.
+        attempt: AttemptId,
+        /// Answer.
+        reply: StoredReply,
+    },
+    /// Gives the claim up without having run the call.
+    Release {
+        /// Call.
+        key: ClaimKey,
+        /// Attempt that held the claim or would have.
+        attempt: AttemptId,
+    },
+}
+
+/// A request that is answered later.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DeferredRequest {
+    /// Identity; part of the address at which the result is read.
+    pub id: RequestId,
+    /// Customer that made the request.
+    pub customer: CustomerName,
+    /// Service that it calls.
+    pub service: ServiceName,
+    /// HTTP method.
+    pub method: String,
+    /// Path below the service, without a leading slash.
+    pub path: String,
+    /// Headers that the endpoint gets.
+    pub headers: IndexMap<String, String>,
+    /// Body.
+    #[serde_as(as = "Base64")]
+    pub body: Vec<u8>,
+}
+
+/// A change of a deferred request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum DeferredChange {
+    /// Accepts the request.
+    Accept {
+        /// Request.
+        request: DeferredRequest,
+    },
+    /// Records the answer; only the first counts.
+    Finish {
+        /// Request.
+        id: RequestId,
+        /// Answer.
+        reply: StoredReply,
+    },
+}
+
+/// Address of a peer's RPC port.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct RpcAddr(pub SocketAddr);
--- /dev/null
+++ b/programs/src/lib.rs
@@ -0,0 +1,1 @@
+//! programs
