--- /dev/null
+++ b/lib/src/attempt.rs
@@ -0,0 +1,150 @@
+//! One attempt at running a request on an endpoint.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::ATTEMPT_HEADER;
+use crate::AttemptId;
+use crate::Endpoint;
+use crate::HttpClient;
+use crate::Lent;
+use crate::Reuse;
+use crate::SendError;
+use crate::call::Call;
+
+/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [&str; 10] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why an attempt failed.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub(crate) enum AttemptError {
+    /// the endpoint was not reached: {0}
+    Unsent(SendError),
+    /// the endpoint may have run the request: {0}
+    MaybeSent(SendError),
+    /// the answer belongs to another attempt
+    Crossed,
+    /// the endpoint made no progress in time
+    Silent,
+    /// the answer ended early: {0}
+    Truncated(String),
+}
+
+impl AttemptError {
+    /// Tells whether the endpoint cannot have seen the request.
+    pub(crate) const fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent(_))
+    }
+}
+
+/// Head of an endpoint's answer, with the connection that its body comes on.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) lent: Lent,
+}
+
+/// Sends a call to an endpoint and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns an [`AttemptError`] that tells whether the endpoint may have run the request.
+pub(crate) async fn dispatch(
+    http: &HttpClient,
+    endpoint: &Endpoint,
+    call: &Call,
+    attempt: AttemptId,
+    reuse: Reuse,
+    progress: Duration,
+) -> Result<Answer, AttemptError> {
+    let request = endpoint_request(endpoint, call, attempt);
+    let sent = tokio::time::timeout(progress, http.send(endpoint.address, request, reuse));
+    let (response, lent) = match sent.await {
+        Err(_) => return Err(AttemptError::Silent),
+        Ok(Err(error)) if error.is_unsent() => return Err(AttemptError::Unsent(error)),
+        Ok(Err(error)) => return Err(AttemptError::MaybeSent(error)),
+        Ok(Ok(answer)) => answer,
+    };
+    if !carries(&response, attempt) {
+        return Err(AttemptError::Crossed);
+    }
+    Ok(Answer { response, lent })
+}
+
+/// Reads the whole body of an answer and gives its connection back.
+///
+/// # Errors
+///
+/// Returns [`AttemptError::Silent`] when no byte comes for `progress`, and
+/// [`AttemptError::Truncated`] when the connection ends early.
+pub(crate) async fn read_whole(
+    http: &HttpClient,
+    answer: Answer,
+    progress: Duration,
+) -> Result<(hyper::http::response::Parts, Bytes), AttemptError> {
+    let (parts, mut body) = answer.response.into_parts();
+    let mut bytes = Vec::new();
+    loop {
+        let frame = tokio::time::timeout(progress, body.frame())
+            .await
+            .map_err(|_elapsed| AttemptError::Silent)?;
+        match frame {
+            None => break,
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    bytes.extend_from_slice(data);
+                }
+            }
+            Some(Err(error)) => return Err(AttemptError::Truncated(error.to_string())),
+        }
+    }
+    http.give_back(answer.lent);
+    Ok((parts, Bytes::from(bytes)))
+}
+
+fn carries(response: &Response<Incoming>, attempt: AttemptId) -> bool {
+    response
+        .headers()
+        .get(ATTEMPT_HEADER)
+        .and_then(|v| v.to_str().ok())
+        .is_some_and(|v| v == attempt.to_string())
+}
+
+fn endpoint_request(endpoint: &Endpoint, call: &Call, attempt: AttemptId) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    let path = format!("/{}", call.path);
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    for (name, value) in &call.headers {
+        if !HOP_HEADERS.contains(&name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    if let Ok(host) = endpoint.address.to_string().parse() {
+        headers.insert("host", host);
+    }
+    if let Ok(id) = attempt.to_string().parse() {
+        headers.insert(ATTEMPT_HEADER, id);
+    }
+    request
+}
--- /dev/null
+++ b/lib/src/controller.rs
@@ -0,0 +1,195 @@
+//! The controller process: log, membership, leases, claims and the table for gates.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::Methods;
+use jsonrpsee::server::ServerBuilder;
+use jsonrpsee::server::ServerHandle;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::ConfigState;
+use crate::ControllerPlugin;
+use crate::ControllerSettings;
+use crate::Error;
+use crate::ErrorKind;
+use crate::HttpLog;
+use crate::Kernel;
+use crate::LiveView;
+use crate::Member;
+use crate::MemberState;
+use crate::PlatformLog;
+use crate::Result;
+use crate::config_store::ConfigStore;
+use crate::live_store::LiveStore;
+
+/// Time within which background tasks end at a stop.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// State of a controller; shared by its subsystems.
+#[derive(Debug)]
+pub struct Controller {
+    /// Clock, events and tasks of the process.
+    pub kernel: Arc<Kernel>,
+    pub(crate) settings: ControllerSettings,
+    pub(crate) addrs: ControllerAddrs,
+    pub(crate) config: ConfigStore,
+    pub(crate) live: LiveStore,
+    pub(crate) log: Arc<dyn PlatformLog>,
+}
+
+/// Addresses that a controller has bound.
+#[derive(Clone, Copy, Debug)]
+pub struct ControllerAddrs {
+    /// RPC port for gates and peers.
+    pub rpc: SocketAddr,
+    /// Operators' RPC port.
+    pub operators: SocketAddr,
+}
+
+impl Controller {
+    /// Starts a controller and returns it once its ports are open.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound or a subsystem cannot start.
+    pub async fn start(settings: ControllerSettings) -> Result<Arc<Self>> {
+        let log = Arc::new(HttpLog::new(settings.platform.log));
+        Self::start_with(settings, log).await
+    }
+
+    /// Starts a controller on a stated log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound or a subsystem cannot start.
+    pub async fn start_with(
+        settings: ControllerSettings,
+        log: Arc<dyn PlatformLog>,
+    ) -> Result<Arc<Self>> {
+        let process = format!("controller/{}", settings.place.node);
+        let rpc = bind(settings.rpc).await?;
+        let operators = bind(settings.operators).await?;
+        let addrs = ControllerAddrs {
+            rpc: bound(&rpc)?,
+            operators: bound(&operators)?,
+        };
+        let controller = Arc::new(Self {
+            kernel: Kernel::new(&process, settings.place.node.clone()),
+            settings,
+            addrs,
+            config: ConfigStore::new(),
+            live: LiveStore::new(),
+            log,
+        });
+        controller.live.put_member(controller.own_member());
+        controller.start_plugins()?;
+        controller.serve_rpc(rpc)?;
+        Ok(controller)
+    }
+
+    /// Returns the bound addresses.
+    pub fn addrs(&self) -> ControllerAddrs {
+        self.addrs
+    }
+
+    /// Returns the configuration in force, if any has been read.
+    pub fn config(&self) -> Option<Arc<ConfigState>> {
+        self.config.current()
+    }
+
+    /// Returns a receiver of every later configuration.
+    pub fn subscribe_config(&self) -> watch::Receiver<Option<Arc<ConfigState>>> {
+        self.config.subscribe()
+    }
+
+    /// Returns the live facts.
+    pub fn live(&self) -> Arc<LiveView> {
+        self.live.view()
+    }
+
+    /// Returns a receiver of every later view of the live facts.
+    pub fn subscribe_live(&self) -> watch::Receiver<Arc<LiveView>> {
+        self.live.subscribe()
+    }
+
+    /// Stops the controller.
+    pub async fn stop(&self) {
+        self.kernel.stop(STOP_LIMIT).await;
+    }
+
+    /// Returns the address at which others reach the RPC port.
+    pub(crate) fn advertised(&self) -> SocketAddr {
+        self.settings.advertise.unwrap_or(self.addrs.rpc)
+    }
+
+    fn own_member(&self) -> Member {
+        let place = &self.settings.place;
+        Member {
+            node: place.node.clone(),
+            domain: place.domain.clone(),
+            region: place.region.clone(),
+            controller: self.advertised(),
+            gate: None,
+            state: MemberState::Alive,
+        }
+    }
+
+    fn start_plugins(self: &Arc<Self>) -> Result<()> {
+        for plugin in plugins() {
+            (plugin.start)(self)?;
+            tracing::debug!(name = plugin.name, "subsystem started");
+        }
+        Ok(())
+    }
+
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+        let mut methods = Methods::new();
+        for plugin in plugins() {
+            if let Some(make) = plugin.methods {
+                methods.merge(make(self)).map_err(internal)?;
+            }
+        }
+        let std = listener.into_std().map_err(internal)?;
+        let server = ServerBuilder::default()
+            .build_from_tcp(std)
+            .map_err(internal)?;
+        let handle: ServerHandle = server.start(methods);
+        let stopped = self.kernel.stopped.clone();
+        tokio::spawn(async move {
+            stopped.cancelled().await;
+            let _ = handle.stop();
+        });
+        Ok(())
+    }
+}
+
+fn plugins() -> Vec<&'static ControllerPlugin> {
+    let mut plugins: Vec<_> = inventory::iter::<ControllerPlugin>.into_iter().collect();
+    plugins.sort_by_key(|p| (p.stage, p.name));
+    plugins
+}
+
+/// Binds a listening socket.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| {
+        Error::new(
+            ErrorKind::Internal,
+            format!("cannot bind {address}: {error}"),
+        )
+    })
+}
+
+pub(crate) fn bound(listener: &TcpListener) -> Result<SocketAddr> {
+    listener.local_addr().map_err(internal)
+}
+
+pub(crate) fn internal(error: impl std::fmt::Display) -> Error {
+    Error::new(ErrorKind::Internal, error.to_string())
+}
--- a/lib/src/kernel.rs
+++ b/lib/src/kernel.rs
@@ -1,16 +1,18 @@
 //! The kernel that every process is built on, and the registry of its plug-ins.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::Methods;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Clock;
+use crate::Controller;
 use crate::EventLog;
+use crate::Gate;
 use crate::NodeName;
 use crate::Result;
 
@@ -68,9 +70,6 @@
     }
 }
 
-/// Future that starts a subsystem.
-pub type StartFuture = Pin<Box<dyn Future<Output = Result<()>> + Send>>;
-
 /// A subsystem of the controller that registers itself.
 ///
 /// Started in the order of `stage`, then of `name`.
@@ -81,7 +80,9 @@
     /// Stage of the start.
     pub stage: Stage,
     /// Starts the subsystem's tasks.
-    pub start: fn(Arc<crate::Controller>) -> StartFuture,
+    pub start: fn(&Arc<Controller>) -> Result<()>,
+    /// Makes the subsystem's RPC methods.
+    pub methods: Option<fn(&Arc<Controller>) -> Methods>,
 }
 
 inventory::collect!(ControllerPlugin);
@@ -96,7 +97,9 @@
     /// Stage of the start.
     pub stage: Stage,
     /// Starts the subsystem's tasks.
-    pub start: fn(Arc<crate::Gate>) -> StartFuture,
+    pub start: fn(&Arc<Gate>) -> Result<()>,
+    /// Makes the subsystem's RPC methods.
+    pub methods: Option<fn(&Arc<Gate>) -> Methods>,
 }
 
 inventory::collect!(GatePlugin);
--- /dev/null
+++ b/lib/src/problem.rs
@@ -0,0 +1,52 @@
+//! Problem documents (RFC 9457) for callers.
+
+use hyper::Response;
+use hyper::header::HeaderValue;
+use serde::Serialize;
+
+use crate::Error;
+use crate::Outcome;
+use crate::ReplyBody;
+use crate::full_body;
+
+/// Prefix of the problem types.
+const TYPE_PREFIX: &str = "urn:hawthornrack:problem:";
+
+/// A problem document.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    #[serde(rename = "type")]
+    kind: String,
+    title: String,
+    status: u16,
+    detail: &'a str,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<u32>,
+}
+
+/// Returns the answer for an error.
+pub(crate) fn problem(error: &Error) -> Response<ReplyBody> {
+    let answer = error.kind.answer();
+    let document = Problem {
+        kind: format!("{TYPE_PREFIX}{}", error.kind.name()),
+        title: error.kind.to_string(),
+        status: answer.status,
+        detail: &error.detail,
+        outcome: error.outcome(),
+        retry_after: error.retry_after(),
+    };
+    let body = serde_json::to_vec(&document).unwrap_or_default();
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = hyper::StatusCode::from_u16(answer.status)
+        .unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        "content-type",
+        HeaderValue::from_static("application/problem+json"),
+    );
+    if let Some(secs) = error.retry_after() {
+        headers.insert("retry-after", HeaderValue::from(secs));
+    }
+    response
+}
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -23,7 +23,7 @@
 use crate::Timestamp;
 
 /// Offsets for which the verdict on a record is remembered, so that a repeated append is known.
-const VERDICT_WINDOW: u64 = 16_384;
+const VERDICT_WINDOW: u64 = 2048;
 
 /// Ended moves that stay in the state.
 const ENDED_MOVES_KEPT: usize = 64;
--- /dev/null
+++ b/programs/src/bin/hawthorn-gate.rs
@@ -0,0 +1,53 @@
+//! The gate program.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use hawthornrack::init_logs;
+use hawthornrack::print_ready;
+use hawthornrack::read_settings;
+use hawthornrack::wait_for_stop;
+use hawthornrack_lib::Gate;
+use hawthornrack_lib::GateSettings;
+
+/// Runs a hawthornrack gate.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// settings file (TOML)
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match run(args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hawthorn-gate: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<(), String> {
+    let settings: GateSettings = read_settings(&args.settings)?;
+    if args.check {
+        return Ok(());
+    }
+    init_logs();
+    let gate = Gate::start(settings).await.map_err(|e| e.to_string())?;
+    let addrs = gate.addrs();
+    print_ready(&BTreeMap::from([
+        ("callers", addrs.callers),
+        ("rpc", addrs.rpc),
+    ]));
+    wait_for_stop().await;
+    gate.stop().await;
+    Ok(())
+}
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -1,1 +1,5 @@
-//! programs
+//! What the hawthornrack programs have in common.
+
+mod process;
+
+pub use process::*;
