--- a/lib/src/config_store.rs
+++ b/lib/src/config_store.rs
@@ -2,23 +2,40 @@
 
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
+use crate::Body;
 use crate::ConfigState;
 use crate::Offset;
 use crate::Record;
 use crate::RecordId;
+use crate::Timestamp;
 use crate::Verdict;
+use crate::recent_records::RecentRecords;
+
+/// The newest checkpoint that this node knows of.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CheckpointMark {
+    /// Last offset that it covers.
+    pub(crate) as_of: Offset,
+    /// Time at which it was written.
+    pub(crate) at: Timestamp,
+}
 
 /// The configuration in force; `None` until it has been read.
 #[derive(Debug)]
 pub(crate) struct ConfigStore {
+    pub(crate) recent: RecentRecords,
+    checkpoint: Mutex<CheckpointMark>,
     state: watch::Sender<Option<Arc<ConfigState>>>,
 }
 
 impl ConfigStore {
     pub(crate) fn new() -> Self {
         Self {
+            recent: RecentRecords::default(),
+            checkpoint: Mutex::default(),
             state: watch::Sender::new(None),
         }
     }
@@ -51,16 +68,18 @@
 
     /// Applies those records that directly follow the state in force.
     ///
-    /// Returns the records applied with their verdicts.
-    pub(crate) fn apply(&self, records: &[Record]) -> Vec<(Record, Verdict)> {
-        let mut verdicts = Vec::new();
+    /// Returns the records applied with their verdicts, `None` for those that hold no change.
+    pub(crate) fn apply(&self, records: &[Record]) -> Vec<(Record, Option<Verdict>)> {
+        let mut applied = Vec::new();
         self.state.send_if_modified(|current| {
             let mut state = current.as_deref().cloned().unwrap_or_default();
             let before = state.next;
             for record in records {
                 if record.offset == state.next {
                     let verdict = state.apply(record);
-                    verdicts.extend(verdict.map(|v| (record.clone(), v)));
+                    self.recent.push(record);
+                    self.note_part(record);
+                    applied.push((record.clone(), verdict));
                 }
             }
             let changed = state.next != before || current.is_none();
@@ -69,7 +88,28 @@
             }
             changed
         });
-        verdicts
+        applied
+    }
+
+    /// Returns the newest checkpoint that this node knows of.
+    pub(crate) fn checkpoint(&self) -> CheckpointMark {
+        *self.checkpoint.lock()
+    }
+
+    /// Notes a checkpoint.
+    pub(crate) fn note_checkpoint(&self, as_of: Offset, at: Timestamp) {
+        let mut mark = self.checkpoint.lock();
+        if at > mark.at {
+            *mark = CheckpointMark { as_of, at };
+        }
+    }
+
+    fn note_part(&self, record: &Record) {
+        if let Body::Checkpoint(part) = &record.envelope.body
+            && part.index + 1 == part.count
+        {
+            self.note_checkpoint(part.as_of, record.envelope.at);
+        }
     }
 
     /// Waits until the verdict on a record is known.
--- a/lib/src/config_tail.rs
+++ b/lib/src/config_tail.rs
@@ -1,37 +1,39 @@
-//! Follows the log's configuration stream and submits changes to it.
+//! Follows the log's configuration stream.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Assembler;
 use crate::Body;
-use crate::ConfigChange;
+use crate::ConfigState;
 use crate::Controller;
 use crate::ControllerPlugin;
-use crate::Envelope;
-use crate::Error;
-use crate::ErrorKind;
+use crate::MemberState;
+use crate::NodeName;
 use crate::Offset;
 use crate::ReadOutcome;
-use crate::RecordId;
+use crate::Record;
 use crate::Result;
 use crate::Stage;
 use crate::Stream;
-use crate::Verdict;
+use crate::relay;
 
 /// Records asked for in one read.
 const READ_LIMIT: usize = 1000;
 
 /// Time for which a read waits at the log for a record.
-const READ_WAIT: Duration = Duration::from_secs(5);
+const READ_WAIT: Duration = Duration::from_secs(2);
 
 /// Pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause before an append is sent again.
-const APPEND_PAUSE: Duration = Duration::from_millis(300);
+/// Members of each failure domain that follow the log closely.
+const TAILERS: usize = 2;
 
-/// Time within which a change must come back through the fold.
-const SUBMIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause between two reads of a member that does not follow the log closely.
+const SAFETY_INTERVAL: Duration = Duration::from_secs(3);
 
 inventory::submit! {
     ControllerPlugin {
@@ -50,25 +52,26 @@
 }
 
 async fn follow(controller: &Controller) {
+    relay::join(controller).await;
+    while controller.config.current().is_none() {
+        read_whole(controller).await;
+    }
     loop {
         let from = controller.config.next();
-        let read = controller
-            .log
-            .read(Stream::Config, from, READ_LIMIT, READ_WAIT);
+        let close = is_tailer(controller);
+        let wait = if close { READ_WAIT } else { Duration::ZERO };
+        let read = controller.log.read(Stream::Config, from, READ_LIMIT, wait);
         match read.await {
             Ok(ReadOutcome::Records(reply)) => {
-                for (record, verdict) in controller.config.apply(&reply.records) {
-                    let events = &controller.kernel.events;
-                    let offset = record.offset;
-                    events.record(
-                        "config.applied",
-                        &[("offset", &offset), ("verdict", &format!("{verdict:?}"))],
-                    );
+                controller.contact.log_heard();
+                controller.apply_config(&reply.records);
+                if !close && reply.records.is_empty() {
+                    tokio::time::sleep(SAFETY_INTERVAL).await;
                 }
             }
             Ok(ReadOutcome::Expired { first }) => {
-                tracing::error!(%from, %first, "the log no longer keeps the next record");
-                tokio::time::sleep(READ_PAUSE).await;
+                controller.contact.log_heard();
+                recover(controller, first).await;
             }
             Err(error) => {
                 tracing::warn!(%error, "reading the log failed");
@@ -78,54 +81,110 @@
     }
 }
 
-impl Controller {
-    /// Appends a configuration change and waits until it has come back through the fold.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`ErrorKind::LogUnavailable`] when the log took no append, and with
-    /// [`ErrorKind::OutcomeUnknown`] when an append may have taken effect but did not come
-    /// back in time.
-    pub async fn submit(&self, change: ConfigChange) -> Result<(Offset, Verdict)> {
-        let envelope = self.envelope(Body::Config(change));
-        let id = envelope.id;
-        tokio::select! {
-            verdict = self.config.verdict(id) => Ok(verdict),
-            error = self.append_until(Stream::Config, envelope, SUBMIT_TIMEOUT) => Err(error),
+/// Reads the stream to its end before the first state comes into force, so that a starting
+/// node never serves a part of the configuration.
+async fn read_whole(controller: &Controller) {
+    let mut kept: Vec<Record> = Vec::new();
+    let mut from = Offset(0);
+    loop {
+        let read = controller
+            .log
+            .read(Stream::Config, from, READ_LIMIT, Duration::ZERO);
+        match read.await {
+            Ok(ReadOutcome::Records(reply)) => {
+                controller.contact.log_heard();
+                from = reply.records.last().map_or(from, |r| r.offset.next());
+                kept.extend(reply.records);
+                if from >= reply.next {
+                    controller.apply_config(&kept);
+                    return;
+                }
+            }
+            Ok(ReadOutcome::Expired { first }) => return recover(controller, first).await,
+            Err(error) => {
+                tracing::warn!(%error, "reading the log failed");
+                tokio::time::sleep(READ_PAUSE).await;
+                return;
+            }
         }
     }
+}
+
+/// Tells whether this node is one of its failure domain's members that follow the log closely.
+///
+/// The members are ranked by rendezvous hash, so that every node comes to the same choice.
+fn is_tailer(controller: &Controller) -> bool {
+    let place = &controller.settings.place;
+    let live = controller.live();
+    let mut ranked: Vec<(u64, &NodeName)> = live
+        .members
+        .values()
+        .filter(|m| m.domain == place.domain && m.state == MemberState::Alive)
+        .map(|m| (xxh3_64(m.node.as_str().as_bytes()), &m.node))
+        .collect();
+    ranked.sort_unstable();
+    let close = ranked.iter().take(TAILERS).any(|(_, n)| **n == place.node);
+    close || ranked.is_empty()
+}
 
-    /// Wraps a record's content with a new identity.
-    pub(crate) fn envelope(&self, body: Body) -> Envelope {
-        Envelope {
-            id: RecordId::random(),
-            writer: self.kernel.node.clone(),
-            at: self.kernel.clock.now(),
-            body,
+/// Reads the stream from its oldest kept record until it has put a whole checkpoint together.
+async fn recover(controller: &Controller, first: Offset) {
+    let mut assembler = Assembler::default();
+    let mut kept: Vec<Record> = Vec::new();
+    let mut from = first;
+    loop {
+        let read = controller
+            .log
+            .read(Stream::Config, from, READ_LIMIT, Duration::ZERO);
+        let Ok(ReadOutcome::Records(reply)) = read.await else {
+            tokio::time::sleep(READ_PAUSE).await;
+            return;
+        };
+        let Some(last) = reply.records.last() else {
+            tracing::error!(%first, "the log holds no whole checkpoint; peers may have the state");
+            tokio::time::sleep(READ_PAUSE).await;
+            return;
+        };
+        from = last.offset.next();
+        let state = find_state(&mut assembler, &reply.records, first);
+        kept.extend(reply.records);
+        if let Some(state) = state {
+            let offset = state.next;
+            controller.config.install(state);
+            controller
+                .kernel
+                .events
+                .record("config.checkpoint_loaded", &[("offset", &offset)]);
+            controller.apply_config(&kept);
+            return;
         }
     }
+}
 
-    /// Appends a record, repeating it with the same identity after a failure, and returns an
-    /// error once `limit` has passed; the caller stops it when it sees the record.
-    async fn append_until(&self, stream: Stream, envelope: Envelope, limit: Duration) -> Error {
-        let deadline = tokio::time::Instant::now() + limit;
-        let mut appended = false;
-        while tokio::time::Instant::now() < deadline {
-            if appended {
-                tokio::time::sleep(APPEND_PAUSE).await;
-                continue;
-            }
-            match self.log.append(stream, vec![envelope.clone()]).await {
-                Ok(_) => appended = true,
-                Err(error) => {
-                    tracing::warn!(%error, "appending to the log failed");
-                    tokio::time::sleep(APPEND_PAUSE).await;
-                }
-            }
+/// Returns the state of the first whole checkpoint that the kept records can continue.
+fn find_state(assembler: &mut Assembler, records: &[Record], first: Offset) -> Option<ConfigState> {
+    records
+        .iter()
+        .filter_map(|record| match &record.envelope.body {
+            Body::Checkpoint(part) => assembler.add::<ConfigState>(part),
+            _ => None,
+        })
+        .find(|state| state.next >= first)
+}
+
+impl Controller {
+    /// Applies those records that follow the configuration in force.
+    pub(crate) fn apply_config(&self, records: &[Record]) {
+        for (record, verdict) in self.config.apply(records) {
+            let Some(verdict) = verdict else { continue };
+            self.kernel.events.record(
+                "config.applied",
+                &[
+                    ("offset", &record.offset),
+                    ("record", &record.envelope.id),
+                    ("verdict", &format!("{verdict:?}")),
+                ],
+            );
         }
-        Error::new(
-            ErrorKind::OutcomeUnknown,
-            "the change did not come back from the log in time; it may still take effect",
-        )
     }
 }
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -23,6 +23,7 @@
 use crate::PlatformLog;
 use crate::Result;
 use crate::config_store::ConfigStore;
+use crate::contact::Contact;
 use crate::live_store::LiveStore;
 
 /// Time within which background tasks end at a stop.
@@ -36,6 +37,7 @@
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
     pub(crate) config: ConfigStore,
+    pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
 }
@@ -81,6 +83,7 @@
             settings,
             addrs,
             config: ConfigStore::new(),
+            contact: Contact::new(),
             live: LiveStore::new(),
             log,
         });
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -96,6 +96,9 @@
     pub margin: Duration,
     /// Records after which a checkpoint is appended.
     pub checkpoint: u64,
+    /// Age of the newest checkpoint after which another is appended, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub checkpoint_age: Duration,
 }
 
 impl Default for ControlSettings {
@@ -107,6 +110,7 @@
             term: Duration::from_secs(6),
             margin: Duration::from_secs(1),
             checkpoint: 2000,
+            checkpoint_age: Duration::from_mins(10),
         }
     }
 }
