--- /dev/null
+++ b/programs/src/lab_commands/log.rs
@@ -0,0 +1,35 @@
+//! The `log` subcommand.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use hawthornrack_lab::LogSettings;
+use hawthornrack_lab::parse_settings;
+use hawthornrack_lab::run_log;
+
+use super::CommandResult;
+use super::any_port;
+use super::bind;
+use super::stop_on_signal;
+
+/// Serves a stand-in for the platform's log.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "log")]
+pub(crate) struct LogCommand {
+    /// address to serve on, by default a free port of the loopback interface
+    #[argh(option, default = "any_port()")]
+    listen: SocketAddr,
+    /// setting as key=value in TOML syntax; may be repeated
+    #[argh(option)]
+    set: Vec<String>,
+}
+
+impl LogCommand {
+    pub(crate) async fn run(self) -> CommandResult {
+        let settings: LogSettings = parse_settings(&self.set)?;
+        let stop = stop_on_signal()?;
+        let listener = bind(self.listen).await?;
+        run_log(settings, listener, stop).await;
+        Ok(())
+    }
+}
