--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod http_server;
 mod ids;
+pub mod operator_proto;
 mod platform;
 mod record;
 mod service;
