rpc: shared key demanded on every RPC port; client builders in one module

Controllers and gates refuse RPC requests without the key of secret_file (status 401, empty body, constant-time compare). The gate now serves its RPC port, with the methods that its plug-ins register.

--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use jsonrpsee::Methods;
-use jsonrpsee::server::ServerBuilder;
-use jsonrpsee::server::ServerHandle;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -22,8 +20,11 @@
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
+use crate::RpcClients;
+use crate::SharedKey;
 use crate::config_store::ConfigStore;
 use crate::live_store::LiveStore;
+use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
@@ -38,6 +39,8 @@
     pub(crate) config: ConfigStore,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
 }
 
 /// Addresses that a controller has bound.
@@ -70,6 +73,7 @@
         log: Arc<dyn PlatformLog>,
     ) -> Result<Arc<Self>> {
         let process = format!("controller/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let rpc = bind(settings.rpc).await?;
         let operators = bind(settings.operators).await?;
         let addrs = ControllerAddrs {
@@ -83,10 +87,11 @@
             config: ConfigStore::new(),
             live: LiveStore::new(),
             log,
+            rpc: RpcClients::new(key.clone()),
         });
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
-        controller.serve_rpc(rpc)?;
+        controller.serve_rpc(rpc, key)?;
         Ok(controller)
     }
 
@@ -145,24 +150,14 @@
         Ok(())
     }
 
-    fn serve_rpc(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
         let mut methods = Methods::new();
         for plugin in plugins() {
             if let Some(make) = plugin.methods {
                 methods.merge(make(self)).map_err(internal)?;
             }
         }
-        let std = listener.into_std().map_err(internal)?;
-        let server = ServerBuilder::default()
-            .build_from_tcp(std)
-            .map_err(internal)?;
-        let handle: ServerHandle = server.start(methods);
-        let stopped = self.kernel.stopped.clone();
-        tokio::spawn(async move {
-            stopped.cancelled().await;
-            let _ = handle.stop();
-        });
-        Ok(())
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
     }
 }
 
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -13,12 +14,16 @@
 use crate::HttpClient;
 use crate::Kernel;
 use crate::Result;
+use crate::RpcClients;
 use crate::ServerLimits;
+use crate::SharedKey;
 use crate::controller::bind;
 use crate::controller::bound;
+use crate::controller::internal;
 use crate::gate_http;
 use crate::in_flight::InFlight;
 use crate::routing_table::RoutingTable;
+use crate::rpc_server::serve_rpc;
 use crate::serve;
 
 /// Time within which background tasks end at a stop.
@@ -33,6 +38,8 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     served: watch::Sender<bool>,
 }
@@ -54,6 +61,7 @@
     /// Fails when a port cannot be bound or a subsystem cannot start.
     pub async fn start(settings: GateSettings) -> Result<Arc<Self>> {
         let process = format!("gate/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
         let addrs = GateAddrs {
@@ -66,12 +74,14 @@
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
             served: watch::Sender::new(false),
         });
         for plugin in plugins() {
             (plugin.start)(&gate)?;
         }
+        gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
         Ok(gate)
     }
@@ -109,6 +119,16 @@
         }
     }
 
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
+        let mut methods = Methods::new();
+        for plugin in plugins() {
+            if let Some(make) = plugin.methods {
+                methods.merge(make(self)).map_err(internal)?;
+            }
+        }
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
+    }
+
     fn serve_callers(self: &Arc<Self>, listener: TcpListener) {
         let limits = self.settings.limits;
         let limits = ServerLimits {
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use jsonrpsee::core::client::Subscription;
-use jsonrpsee::ws_client::WsClient;
-use jsonrpsee::ws_client::WsClientBuilder;
 use thiserror::Error;
 use tokio::time::error::Elapsed;
 
@@ -41,9 +39,6 @@
 /// Pause before the next controller is tried.
 const LINK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Largest message of a controller, in bytes.
-const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
-
 inventory::submit! {
     GatePlugin {
         name: "link",
@@ -91,12 +86,7 @@
 }
 
 async fn follow(gate: &Gate, controller: SocketAddr) -> Result<(), LinkError> {
-    let client: WsClient = WsClientBuilder::default()
-        .connection_timeout(CONNECT_TIMEOUT)
-        .max_response_size(MAX_MESSAGE_BYTES)
-        .request_timeout(SILENCE_LIMIT)
-        .build(format!("ws://{controller}"))
-        .await?;
+    let client = gate.rpc.websocket(controller, CONNECT_TIMEOUT).await?;
     let hello = GateHello {
         node: gate.kernel.node.clone(),
         info: gate.info(),
--- /dev/null
+++ b/lib/src/shared_key.rs
@@ -0,0 +1,136 @@
+//! The key that the system's processes share, and its check on every RPC port.
+
+use std::fmt::Debug;
+use std::fmt::Formatter;
+use std::path::Path;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::AUTHORIZATION;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use jsonrpsee::server::HttpBody;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tower::BoxError;
+use tower::Layer;
+use tower::Service;
+
+use crate::Error;
+use crate::ErrorKind;
+use crate::Result;
+
+/// Prefix of the header value that carries the key.
+const SCHEME: &str = "Bearer ";
+
+/// The key that the system's processes share.
+#[derive(Clone)]
+pub struct SharedKey {
+    header: HeaderValue,
+    digest: [u8; 32],
+}
+
+impl SharedKey {
+    /// Reads the key from a file, without white space around it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, is empty or holds characters that no header may
+    /// carry.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            let detail = format!("cannot read the shared key {}: {error}", path.display());
+            Error::new(ErrorKind::Internal, detail)
+        })?;
+        Self::new(text.trim()).map_err(|error| {
+            let detail = format!("the shared key {}: {}", path.display(), error.detail);
+            Error::new(ErrorKind::Internal, detail)
+        })
+    }
+
+    /// Wraps a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is empty or holds characters that no header may carry.
+    pub fn new(key: &str) -> Result<Self> {
+        if key.is_empty() {
+            return Err(Error::new(ErrorKind::Internal, "the key is empty"));
+        }
+        let mut header = HeaderValue::from_str(&format!("{SCHEME}{key}"))
+            .map_err(|_err| Error::new(ErrorKind::Internal, "the key is not printable text"))?;
+        header.set_sensitive(true);
+        let digest = Sha256::digest(header.as_bytes()).into();
+        Ok(Self { header, digest })
+    }
+
+    /// Returns the headers that a client sends.
+    pub fn headers(&self) -> HeaderMap {
+        HeaderMap::from_iter([(AUTHORIZATION, self.header.clone())])
+    }
+
+    /// Tells whether a request carries the key, in time that does not depend on the key.
+    pub fn admits(&self, headers: &HeaderMap) -> bool {
+        let Some(given) = headers.get(AUTHORIZATION) else {
+            return false;
+        };
+        let digest: [u8; 32] = Sha256::digest(given.as_bytes()).into();
+        digest.ct_eq(&self.digest).into()
+    }
+}
+
+impl Debug for SharedKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SharedKey(..)")
+    }
+}
+
+/// Layer that answers requests without the key with status 401 and an empty body.
+#[derive(Clone, Debug)]
+pub(crate) struct KeyLayer(pub(crate) SharedKey);
+
+impl<S> Layer<S> for KeyLayer {
+    type Service = KeyCheck<S>;
+
+    fn layer(&self, inner: S) -> KeyCheck<S> {
+        KeyCheck {
+            inner,
+            key: self.0.clone(),
+        }
+    }
+}
+
+/// Service made by [`KeyLayer`].
+#[derive(Clone, Debug)]
+pub(crate) struct KeyCheck<S> {
+    inner: S,
+    key: SharedKey,
+}
+
+impl<S, B> Service<Request<B>> for KeyCheck<S>
+where
+    S: Service<Request<B>, Response = Response<HttpBody>, Error = BoxError>,
+    S::Future: Send + 'static,
+{
+    type Response = Response<HttpBody>;
+    type Error = BoxError;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, BoxError>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        if self.key.admits(request.headers()) {
+            return Box::pin(self.inner.call(request));
+        }
+        let mut refused = Response::new(HttpBody::empty());
+        *refused.status_mut() = StatusCode::UNAUTHORIZED;
+        Box::pin(async move { Ok(refused) })
+    }
+}
