--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -23,6 +23,7 @@
 use crate::RpcClients;
 use crate::SharedKey;
 use crate::config_store::ConfigStore;
+use crate::contact::Contact;
 use crate::live_store::LiveStore;
 use crate::rpc_server::serve_rpc;
 
@@ -37,6 +38,7 @@
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
     pub(crate) config: ConfigStore,
+    pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
     /// Clients of other processes' RPC ports.
@@ -85,6 +87,7 @@
             settings,
             addrs,
             config: ConfigStore::new(),
+            contact: Contact::new(),
             live: LiveStore::new(),
             log,
             rpc: RpcClients::new(key.clone()),
