--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -7,8 +7,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
-use sha2::Digest;
-use sha2::Sha256;
 use tokio::time::Instant;
 
 use crate::CustomerName;
@@ -21,6 +19,7 @@
 use crate::RoutingTable;
 use crate::Service;
 use crate::ServiceName;
+use crate::token_hash;
 
 /// Rule for paths that no declared route matches.
 const DEFAULT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(30);
@@ -94,19 +93,6 @@
         .ok_or_else(|| Error::new(ErrorKind::Unauthorized, "the bearer token is not known"))
 }
 
-/// Returns the SHA-256 of a token in lower-case hexadecimal.
-pub fn token_hash(token: &str) -> String {
-    use std::fmt::Write as _;
-
-    let digest = Sha256::digest(token.as_bytes());
-    digest
-        .iter()
-        .fold(String::with_capacity(64), |mut text, byte| {
-            let _ = write!(text, "{byte:02x}");
-            text
-        })
-}
-
 /// Reads a caller's request whole and checks it against the table.
 ///
 /// # Errors
