--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -25,6 +25,7 @@
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
+use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
@@ -95,6 +96,7 @@
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
+        serve_operators(&controller, operators);
         Ok(controller)
     }
 
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -14,6 +14,7 @@
 use crate::Offset;
 use crate::RegionName;
 use crate::ServiceName;
+use crate::Step;
 use crate::Timestamp;
 use crate::VersionName;
 use crate::VmName;
@@ -123,6 +124,8 @@
     pub leaving: IndexMap<VmName, Timestamp>,
     /// Versions stopped, by move.
     pub stops: IndexMap<MoveName, Stop>,
+    /// Steps that running moves have reached.
+    pub steps: IndexMap<MoveName, Step>,
     /// Evidence about versions, merged over all nodes.
     pub evidence: Vec<EvidenceRow>,
     /// Crashes of endpoints by request digest.
