--- /dev/null
+++ b/lab/tests/test_cloud.rs
@@ -0,0 +1,110 @@
+//! Tests of the cloud and weight-store stand-ins.
+
+mod testutils;
+
+use std::time::Duration;
+
+use hawthornrack_lab::CloudSettings;
+use hawthornrack_lab::CloudStats;
+use hawthornrack_lab::WeightSettings;
+use hawthornrack_lab::run_cloud;
+use hawthornrack_lab::run_weights;
+use hawthornrack_lib::ListedState;
+use hawthornrack_lib::ListedVm;
+use hawthornrack_lib::NoticeReply;
+use hawthornrack_lib::SendError;
+use hawthornrack_lib::Vm;
+use serde_json::Value;
+use serde_json::json;
+
+use self::testutils::Server;
+use self::testutils::start;
+
+async fn cloud() -> Server {
+    start(|listener, stop| run_cloud(CloudSettings::default(), listener, stop)).await
+}
+
+fn start_of(token: &str) -> Value {
+    json!({"token": token, "class": "small", "domain": "north", "market": "reclaimable"})
+}
+
+#[tokio::test]
+async fn test_cloud_token_gives_one_machine_when_the_answer_is_lost() {
+    let cloud = cloud().await;
+    let entry = json!({"domain": "north", "address": "127.0.0.1:9"});
+    let _ = cloud.post::<Value>("/control/servers", &entry).await;
+    cloud.control(&json!({"lose_answers": 1})).await;
+    let lost = cloud.post::<Vm>("/vms", &start_of("a")).await;
+    assert!(lost.is_err());
+    let first: Vm = cloud.post("/vms", &start_of("a")).await.unwrap();
+    let other: Vm = cloud.post("/vms", &start_of("b")).await.unwrap();
+    assert_ne!(first.name, other.name);
+    assert_eq!(first.address, Some("127.0.0.1:9".parse().unwrap()));
+    assert_eq!(other.address, None);
+    let running: Vec<Vm> = cloud.get("/vms").await.unwrap();
+    assert_eq!(running.len(), 2);
+    let stats: CloudStats = cloud.get("/stats").await.unwrap();
+    assert_eq!((stats.started, stats.repeated), (2, 1));
+}
+
+#[tokio::test]
+async fn test_cloud_refuses_chosen_starts() {
+    let cloud = cloud().await;
+    cloud
+        .control(&json!({"refuse": [{"domain": "north", "market": "reclaimable"}]}))
+        .await;
+    let refused = cloud.post::<Vm>("/vms", &start_of("a")).await;
+    assert!(
+        matches!(refused, Err(SendError::Status(503, _))),
+        "{refused:?}"
+    );
+    let mut other = start_of("a");
+    other["market"] = json!("on_demand");
+    cloud.post::<Vm>("/vms", &other).await.unwrap();
+}
+
+#[tokio::test]
+async fn test_cloud_notice_ends_the_machine_while_the_list_lags() {
+    let cloud = cloud().await;
+    let vm: Vm = cloud.post("/vms", &start_of("a")).await.unwrap();
+    cloud.control(&json!({"list_lag_ms": 150})).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let order = json!({"domain": "north", "ms": 100});
+    let (reply, given) = tokio::join!(
+        cloud.get::<NoticeReply>("/notices?from=0&wait_ms=9000"),
+        cloud.post::<Value>("/control/notice", &order),
+    );
+    given.unwrap();
+    let reply = reply.unwrap();
+    assert_eq!((reply.next, &reply.notices[0].vm), (1, &vm.name));
+    let listed: Vec<ListedVm> = cloud.get("/list").await.unwrap();
+    assert_eq!(listed[0].state, ListedState::Live);
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    assert!(cloud.get::<Vec<Vm>>("/vms").await.unwrap().is_empty());
+    tokio::time::sleep(Duration::from_millis(160)).await;
+    assert!(
+        cloud
+            .get::<Vec<ListedVm>>("/list")
+            .await
+            .unwrap()
+            .is_empty()
+    );
+}
+
+#[tokio::test]
+async fn test_weights_are_limited() {
+    let settings = WeightSettings {
+        per_sec: 0.1,
+        burst: 1.0,
+        fetch_ms: 0,
+        bytes: 8,
+    };
+    let store = start(|listener, stop| run_weights(settings, listener, stop)).await;
+    let body = store.send(hyper::Method::GET, "/weights/m", &()).await;
+    assert_eq!(body.len(), 8);
+    let limited = store.get::<Value>("/weights/m").await;
+    assert!(
+        matches!(limited, Err(SendError::Status(429, _))),
+        "{limited:?}"
+    );
+}
--- /dev/null
+++ b/lab/tests/test_plain.rs
@@ -0,0 +1,88 @@
+//! Tests of the plain-service stand-in.
+
+mod testutils;
+
+use std::time::Duration;
+
+use hawthornrack_lab::PlainAnswer;
+use hawthornrack_lab::PlainSettings;
+use hawthornrack_lab::PlainStats;
+use hawthornrack_lab::run_plain;
+use hawthornrack_lib::KeySupport;
+use hyper::Method;
+use rstest::rstest;
+use serde_json::json;
+
+use self::testutils::start;
+
+#[rstest]
+#[case::ignored(KeySupport::Ignored, 2, 404)]
+#[case::honoured(KeySupport::Honoured, 1, 404)]
+#[case::lookup(KeySupport::Lookup, 2, 200)]
+#[tokio::test]
+async fn test_plain_runs_by_key(
+    #[case] keys: KeySupport,
+    #[case] runs: u32,
+    #[case] looked_up: u16,
+) {
+    let settings = PlainSettings {
+        keys,
+        run_ms: 20,
+        ..PlainSettings::default()
+    };
+    let service = start(|listener, stop| run_plain(settings, listener, stop)).await;
+    let body = json!({"boat": 4});
+    let (one, two) = tokio::join!(
+        service.send(Method::POST, "/book?day=1", &body),
+        service.send(Method::POST, "/book?day=1", &body),
+    );
+    let one: PlainAnswer = serde_json::from_slice(&one).unwrap();
+    let two: PlainAnswer = serde_json::from_slice(&two).unwrap();
+    assert_eq!(one.run == two.run, runs == 1);
+    assert_eq!(
+        (one.path.as_str(), one.key.as_str()),
+        ("/book?day=1", "key-1")
+    );
+    assert_eq!(one.body, body.to_string());
+    let stats: PlainStats = service.get("/stats").await.unwrap();
+    assert_eq!(stats.by_key["key-1"], runs);
+    assert_eq!(stats.by_path["/book"], runs);
+    let found = service
+        .try_send(Method::GET, "/keys/key-1", &())
+        .await
+        .unwrap();
+    assert_eq!(found.status(), looked_up);
+}
+
+#[tokio::test]
+async fn test_plain_lost_answer_has_run() {
+    let service = start(|listener, stop| run_plain(PlainSettings::default(), listener, stop)).await;
+    service
+        .control(&json!({"faults": {"lose_answers": 1}}))
+        .await;
+    let lost = service.try_send(Method::POST, "/book", &()).await;
+    assert!(lost.is_err());
+    let stats: PlainStats = service.get("/stats").await.unwrap();
+    assert_eq!(stats.by_attempt["attempt-1"], 1);
+}
+
+#[tokio::test]
+async fn test_plain_runs_on_after_disconnect() {
+    let settings = PlainSettings {
+        run_ms: 100,
+        keys: KeySupport::Lookup,
+        ..PlainSettings::default()
+    };
+    let service = start(|listener, stop| run_plain(settings, listener, stop)).await;
+    let sent = service.try_send(Method::POST, "/book", &());
+    assert!(
+        tokio::time::timeout(Duration::from_millis(50), sent)
+            .await
+            .is_err()
+    );
+    let found = service
+        .try_send(Method::GET, "/keys/key-1", &())
+        .await
+        .unwrap();
+    assert_eq!(found.status(), 200);
+}
