--- a/lab/tests/testutils/mod.rs
+++ b/lab/tests/testutils/mod.rs
@@ -21,6 +21,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Time limit of a call in tests.
@@ -110,6 +111,18 @@
     }
 }
 
+/// Waits until a condition holds.
+pub async fn wait_until(mut condition: impl AsyncFnMut() -> bool) {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    while !condition().await {
+        assert!(
+            Instant::now() < deadline,
+            "the condition did not come to hold"
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// A request for a streamed answer.
 pub fn streamed(prompt: &str, max_tokens: u32) -> CompletionRequest {
     CompletionRequest {
