--- a/lib/src/declaration.rs
+++ b/lib/src/declaration.rs
@@ -9,6 +9,7 @@
 use std::num::NonZeroU32;
 use std::path::Path;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -301,8 +302,7 @@
     keys: KeySupport,
     #[serde(default)]
     fenced: bool,
-    #[serde(with = "humantime_serde")]
-    target: Duration,
+    target: Span,
     #[serde(default)]
     replicas: u32,
 }
@@ -323,8 +323,7 @@
     repeatable: bool,
     #[serde(default)]
     priority: Priority,
-    #[serde(with = "humantime_serde")]
-    timeout: Duration,
+    timeout: Span,
 }
 
 #[derive(Deserialize)]
@@ -349,6 +348,27 @@
     NonZeroU32::MIN
 }
 
+/// A duration as files hold it, with its unit.
+#[derive(DeserializeFromStr)]
+struct Span(Duration);
+
+/// A text that is no duration.
+#[derive(Debug, displaydoc::Display, ThisError)]
+enum SpanError {
+    /// not a duration: {0}; a number with its unit is needed, as in "900ms", "30s" or "10m"
+    BadForm(humantime::DurationError),
+}
+
+impl FromStr for Span {
+    type Err = SpanError;
+
+    fn from_str(text: &str) -> Result<Self, SpanError> {
+        humantime::parse_duration(text)
+            .map(Self)
+            .map_err(SpanError::BadForm)
+    }
+}
+
 /// A token hash as files hold it: `sha256:` and 64 hexadecimal digits.
 #[derive(DeserializeFromStr)]
 struct TokenHash(String);
@@ -360,7 +380,7 @@
     BadForm,
 }
 
-impl std::str::FromStr for TokenHash {
+impl FromStr for TokenHash {
     type Err = TokenHashError;
 
     fn from_str(text: &str) -> Result<Self, TokenHashError> {
@@ -378,7 +398,7 @@
         source: &Source<'_>,
         key: &Spanned<ServiceName>,
     ) -> Result<WantedService, DeclarationError> {
-        if self.target.is_zero() {
+        if self.target.0.is_zero() {
             return Err(source.bad(key, "target must be longer than zero, as in \"900ms\""));
         }
         let shares = self.check_versions(source, key)?;
@@ -405,7 +425,7 @@
             routes,
             keys: self.keys,
             fenced: self.fenced,
-            target: self.target,
+            target: self.target.0,
             replicas: self.replicas,
         };
         Ok(WantedService { service, shares })
@@ -452,7 +472,7 @@
         if self.prefix.get_ref().starts_with('/') {
             return Err(source.bad(&self.prefix, "a prefix has no leading slash"));
         }
-        if self.timeout.is_zero() {
+        if self.timeout.0.is_zero() {
             let problem = "the route's timeout must be longer than zero, as in \"30s\"";
             return Err(source.bad(&self.prefix, problem));
         }
@@ -460,7 +480,7 @@
             prefix: self.prefix.into_inner(),
             repeatable: self.repeatable,
             priority: self.priority,
-            timeout: self.timeout,
+            timeout: self.timeout.0,
         })
     }
 }
