--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -6,11 +6,9 @@
 use std::time::Duration;
 
 use jsonrpsee::Methods;
-use jsonrpsee::core::ClientError;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::http_client::HttpClient;
-use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::proc_macros::rpc;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
@@ -23,6 +21,7 @@
 use crate::Offset;
 use crate::Record;
 use crate::Result;
+use crate::RpcError;
 use crate::Stage;
 
 /// Peers that get new records at once.
@@ -132,9 +131,10 @@
     }
 }
 
-async fn pull_from(controller: &Controller, peer: SocketAddr) -> Result<(), ClientError> {
+async fn pull_from(controller: &Controller, peer: SocketAddr) -> Result<(), RpcError> {
     let from = controller.config.next();
-    match client(peer)?.pull(from).await? {
+    let pull = async |client: HttpClient| client.pull(from).await;
+    match controller.rpc.call_twice(peer, PEER_TIMEOUT, pull).await? {
         PullReply::Nothing => {}
         // Records alone never start a state: they may be a part of the stream.
         PullReply::Records(records) if from > Offset(0) => controller.apply_config(&records),
@@ -164,9 +164,10 @@
         };
         for peer in random_peers(controller, PUSH_FANOUT) {
             let records = records.clone();
+            let rpc = controller.rpc.clone();
             controller.kernel.spawn(async move {
-                let Ok(client) = client(peer) else { return };
-                if let Err(error) = client.push(records).await {
+                let push = async |client: HttpClient| client.push(records).await;
+                if let Err(error) = rpc.call(peer, PEER_TIMEOUT, push).await {
                     tracing::debug!(%error, %peer, "pushing records to a peer failed");
                 }
             });
@@ -189,9 +190,3 @@
     peers.dedup();
     peers.into_iter().choose_multiple(&mut rand::rng(), count)
 }
-
-fn client(peer: SocketAddr) -> Result<HttpClient, ClientError> {
-    HttpClientBuilder::default()
-        .request_timeout(PEER_TIMEOUT)
-        .build(format!("http://{peer}"))
-}
