claims: fold over the claims stream, tail, batcher and RPC of the controller

The verdict on an attempt is fixed by the first record about it in log order. Shown failing first with Abandon freeing the claim: test_claim_state_at_most_one_attempt_dispatches: Test failed: 2 attempts were sent test_claim_state_abandoned_call_never_runs_again: left: Won, right: Unknown { attempt: AttemptId(1), gate: NodeName("gate-1") }

--- a/lib/src/checkpoint_writer.rs
+++ b/lib/src/checkpoint_writer.rs
@@ -70,7 +70,7 @@
 /// Tells whether this node is the first of the members by rendezvous hash.
 ///
 /// Two writers at once are harmless: either checkpoint is whole and true.
-fn is_writer(controller: &Controller) -> bool {
+pub(crate) fn is_writer(controller: &Controller) -> bool {
     let live = controller.live();
     let first = live
         .members
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -22,6 +22,7 @@
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
+use crate::claim_tail::ClaimStore;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
@@ -36,6 +37,7 @@
     pub kernel: Arc<Kernel>,
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
+    pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
     pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
@@ -82,6 +84,7 @@
             kernel: Kernel::new(&process, settings.place.node.clone()),
             settings,
             addrs,
+            claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
             contact: Contact::new(),
             live: LiveStore::new(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! The library knows nothing of command lines; the programs are thin binaries over it.
 
+mod append_batcher;
 mod attempt;
 mod call;
 mod checkpoint;
 mod checkpoint_writer;
+mod claim_rpc;
+mod claim_state;
+mod claim_tail;
 mod config_store;
 mod config_submit;
 mod config_tail;
@@ -15,6 +19,8 @@
 mod entries;
 mod error;
 mod event;
+mod fold_clock;
+mod fold_store;
 mod gate;
 mod gate_http;
 mod http_client;
@@ -36,18 +42,22 @@
 mod service;
 mod settings;
 mod state;
+mod stream_tail;
 mod table;
 mod table_rpc;
 mod time;
 
 pub use call::token_hash;
 pub use checkpoint::*;
+pub use claim_rpc::*;
+pub use claim_state::*;
 pub use contact::ISOLATION_LIMIT;
 pub use controller::*;
 pub use engine::*;
 pub use entries::*;
 pub use error::*;
 pub use event::*;
+pub use fold_clock::*;
 pub use gate::*;
 pub use http_client::*;
 pub use http_server::*;
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -1,5 +1,8 @@
 //! Records of the platform's log.
 
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::fmt::Result as FmtResult;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -231,6 +234,12 @@
     pub key: String,
 }
 
+impl Display for ClaimKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        write!(f, "{}/{}/{}", self.customer, self.service, self.key)
+    }
+}
+
 /// A whole answer kept for resends.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -242,6 +251,9 @@
     /// Body.
     #[serde_as(as = "Base64")]
     pub body: Vec<u8>,
+    /// Length in bytes of a body that was not kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub omitted: Option<u64>,
 }
 
 /// A change of a claim.
