--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -135,10 +135,9 @@
     let from = controller.config.next();
     let pull = async |client: HttpClient| client.pull(from).await;
     match controller.rpc.call_twice(peer, PEER_TIMEOUT, pull).await? {
-        PullReply::Nothing => {}
         // Records alone never start a state: they may be a part of the stream.
         PullReply::Records(records) if from > Offset(0) => controller.apply_config(&records),
-        PullReply::Records(_) => {}
+        PullReply::Nothing | PullReply::Records(_) => {}
         PullReply::Snapshot(state) => {
             let offset = state.next;
             controller.config.install(*state);
