--- a/lab/src/cloud.rs
+++ b/lab/src/cloud.rs
@@ -16,10 +16,6 @@
 use hawthornrack_lib::Timestamp;
 use hawthornrack_lib::Vm;
 use hawthornrack_lib::VmName;
-use hawthornrack_lib::serve;
-use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -29,16 +25,11 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 use crate::reply::Refusal;
 use crate::reply::Reply;
-use crate::reply::control;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::parse;
-use crate::reply::query;
-use crate::reply::read_body;
-use crate::reply::refuse;
-use crate::reply::text;
 
 /// Price of a machine for which no row is set, per hour in millionths of the currency unit.
 const ON_DEMAND_PRICE: u64 = 1_000_000;
@@ -167,64 +158,61 @@
         }),
         noticed: Notify::new(),
     });
-    serve(listener, limits(), stop, move |request, _peer| {
+    reply::host(listener, stop, move |call| {
         let cloud = Arc::clone(&cloud);
-        async move { cloud.answer(request).await.unwrap_or_else(Reply::from) }
+        async move { cloud.answer(call).await }
     })
     .await;
 }
 
 impl Cloud {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        if segments.first() == Some(&"control") {
-            let body = read_body(request.into_body()).await?;
-            return self.control(&segments[1..], &body);
+    async fn answer(&self, call: Call) -> Answer {
+        if let Some(("control", parts)) = call.segments().split_first().map(|(f, r)| (*f, r)) {
+            return self.control(parts, &call);
         }
         if self.inner.lock().settings.outage {
             return Err(Refusal::Later(503, 1));
         }
-        match (request.method(), segments.as_slice()) {
-            (&Method::POST, ["vms"]) => {
-                let start: StartRequest = parse(&read_body(request.into_body()).await?)?;
+        match (call.method(), call.segments().as_slice()) {
+            ("POST", ["vms"]) => {
+                let start: StartRequest = call.parse()?;
                 self.start(start)
             }
-            (&Method::GET, ["vms"]) => Ok(json(200, &self.running())),
-            (&Method::DELETE, ["vms", name]) => self.end(name),
-            (&Method::GET, ["notices"]) => Ok(self.notices(&request).await),
-            (&Method::GET, ["list"]) => Ok(json(200, &self.list())),
-            (&Method::GET, ["stats"]) => Ok(json(200, &self.stats())),
-            _ => Err(refuse(404, "no such path")),
+            ("GET", ["vms"]) => Ok(reply::json(200, &self.running())),
+            ("DELETE", ["vms", name]) => self.end(name),
+            ("GET", ["notices"]) => Ok(self.notices(&call).await),
+            ("GET", ["list"]) => Ok(reply::json(200, &self.list())),
+            ("GET", ["stats"]) => Ok(reply::json(200, &self.stats())),
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
-    fn control(&self, parts: &[&str], body: &[u8]) -> Result<Reply, Refusal> {
+    fn control(&self, parts: &[&str], call: &Call) -> Answer {
         let mut inner = self.inner.lock();
         match parts {
-            [] => Ok(control(&mut inner.settings, body)),
+            [] => call.control(&mut inner.settings),
             ["servers"] => {
-                let entry: ServerEntry = parse(body)?;
+                let entry: ServerEntry = call.parse()?;
                 let pool = inner.servers.entry(entry.domain).or_default();
                 pool.push_back(entry.address);
-                Ok(text(200, "registered"))
+                Ok(reply::text(200, "registered"))
             }
             ["vms"] => {
-                let vm: Vm = parse(body)?;
+                let vm: Vm = call.parse()?;
                 inner.add(vm, self.clock.now());
-                Ok(text(200, "added"))
+                Ok(reply::text(200, "added"))
             }
             ["notice"] => {
-                let order: NoticeOrder = parse(body)?;
+                let order: NoticeOrder = call.parse()?;
                 let given = inner.give_notice(&order, self.clock.now());
                 self.noticed.notify_waiters();
-                Ok(json(200, &given))
+                Ok(reply::json(200, &given))
             }
-            _ => Err(refuse(404, "no such path")),
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
-    fn start(&self, start: StartRequest) -> Result<Reply, Refusal> {
+    fn start(&self, start: StartRequest) -> Answer {
         let mut guard = self.inner.lock();
         let inner = &mut *guard;
         let now = self.clock.now();
@@ -232,7 +220,7 @@
         let known = inner.machines.values().find(|m| m.vm.token == start.token);
         if let Some(machine) = known {
             inner.stats.repeated += 1;
-            return Ok(json(200, &machine.vm));
+            return Ok(reply::json(200, &machine.vm));
         }
         if inner.settings.refuse.iter().any(|f| f.matches(&start)) {
             inner.stats.refused += 1;
@@ -246,7 +234,7 @@
             inner.settings.lose_answers -= 1;
             return Err(Refusal::Abort);
         }
-        Ok(json(200, &inner.machines[&vm.name].vm))
+        Ok(reply::json(200, &inner.machines[&vm.name].vm))
     }
 
     fn running(&self) -> Vec<Vm> {
@@ -257,21 +245,21 @@
         running.map(|m| m.vm.clone()).collect()
     }
 
-    fn end(&self, name: &str) -> Result<Reply, Refusal> {
+    fn end(&self, name: &str) -> Answer {
         let mut inner = self.inner.lock();
         let now = self.clock.now();
         let machine = inner
             .machines
             .values_mut()
             .find(|m| m.vm.name.as_str() == name);
-        let machine = machine.ok_or_else(|| refuse(404, "no such machine"))?;
+        let machine = machine.ok_or_else(|| reply::refuse(404, "no such machine"))?;
         machine.ends = Some(machine.ends.map_or(now, |at| at.min(now)));
-        Ok(text(200, "ended"))
+        Ok(reply::text(200, "ended"))
     }
 
-    async fn notices(&self, request: &Request<Incoming>) -> Reply {
-        let from = query(request, "from").unwrap_or(0) as usize;
-        let wait = Duration::from_millis(query(request, "wait_ms").unwrap_or(0));
+    async fn notices(&self, call: &Call) -> Reply {
+        let from = call.query("from") as usize;
+        let wait = Duration::from_millis(call.query("wait_ms"));
         let deadline = Instant::now() + wait;
         loop {
             let noticed = self.noticed.notified();
@@ -281,7 +269,7 @@
                     next: given.len() as u64,
                     notices: given.into_iter().skip(from).collect(),
                 };
-                return json(200, &reply);
+                return reply::json(200, &reply);
             }
             let _ = tokio::time::timeout_at(deadline, noticed).await;
         }
@@ -330,7 +318,7 @@
 impl Inner {
     fn create(&self, start: StartRequest) -> Result<Vm, Refusal> {
         let name = format!("vm-{}-{}", start.domain, self.machines.len());
-        let name = VmName::new(name).map_err(|error| refuse(400, &error.to_string()))?;
+        let name = VmName::new(name).map_err(|error| reply::refuse(400, &error.to_string()))?;
         let row = self
             .settings
             .prices
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -20,14 +20,11 @@
 use hawthornrack_lib::Priority;
 use hawthornrack_lib::Role;
 use hawthornrack_lib::STREAM_HEADER;
-use hawthornrack_lib::serve;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Method;
-use hyper::Request;
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -51,21 +48,11 @@
 use crate::generation::TextSource;
 use crate::generation::count_tokens;
 use crate::kv::KvExports;
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 use crate::reply::Refusal;
 use crate::reply::Reply;
-use crate::reply::abort;
-use crate::reply::control;
-use crate::reply::digest;
-use crate::reply::header;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::parse;
-use crate::reply::query;
-use crate::reply::read_body;
-use crate::reply::refuse;
-use crate::reply::return_attempt;
-use crate::reply::set_header;
-use crate::reply::text;
 
 /// Interval between two readings of the load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(20);
@@ -232,17 +219,9 @@
     });
     engine.batch.resize(engine.settings().slots);
     tokio::spawn(Arc::clone(&engine).sample_load());
-    serve(listener, limits(), down, move |request, _peer| {
+    reply::host(listener, down, move |call| {
         let engine = Arc::clone(&engine);
-        async move {
-            let attempt = header(&request, ATTEMPT_HEADER);
-            let mut reply = tokio::select! {
-                () = engine.down.cancelled() => abort(),
-                reply = engine.answer(request) => reply.unwrap_or_else(Reply::from),
-            };
-            return_attempt(&mut reply, &attempt);
-            reply
-        }
+        async move { engine.answer(call).await }
     })
     .await;
 }
@@ -254,48 +233,45 @@
 
     pub(crate) fn run(&self, id: &str) -> Result<Arc<Run>, Refusal> {
         let run = self.runs.lock().get(id).cloned();
-        run.ok_or_else(|| refuse(404, "no such stream"))
+        run.ok_or_else(|| reply::refuse(404, "no such stream"))
     }
 
-    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match (request.method(), segments.as_slice()) {
-            (&Method::GET, ["stats"]) => Ok(json(200, &self.stats())),
-            (&Method::GET, ["load"]) => Ok(json(200, &self.load())),
-            (&Method::GET, ["orders"]) => self.order(),
-            (&Method::GET, ["cache", "events"]) => {
+    async fn answer(self: &Arc<Self>, call: Call) -> Answer {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["stats"]) => Ok(reply::json(200, &self.stats())),
+            ("GET", ["load"]) => Ok(reply::json(200, &self.load())),
+            ("GET", ["orders"]) => self.order(),
+            ("GET", ["cache", "events"]) => {
                 let lag = Duration::from_millis(self.settings().event_lag_ms);
-                let from = query(&request, "from").unwrap_or(0);
-                Ok(json(200, &self.cache.lock().events(from, lag)))
+                let from = call.query("from");
+                Ok(reply::json(200, &self.cache.lock().events(from, lag)))
             }
-            (&Method::GET, ["v1", "streams", id]) => self.resume(id, &request),
-            (&Method::DELETE, ["v1", "streams", id]) => {
+            ("GET", ["v1", "streams", id]) => self.resume(id, &call),
+            ("DELETE", ["v1", "streams", id]) => {
                 self.run(id)?.cancel.cancel();
-                Ok(text(200, "cancelled"))
+                Ok(reply::text(200, "cancelled"))
             }
-            (&Method::GET, ["v1", "kv", handle]) => self.send_kv(handle).await,
-            (&Method::POST, ["control"]) => {
-                let change = read_body(request.into_body()).await?;
+            ("GET", ["v1", "kv", handle]) => self.send_kv(handle).await,
+            ("POST", ["control"]) => {
                 self.picker.restart();
-                let reply = control(&mut *self.settings.lock(), &change);
+                let answer = call.control(&mut *self.settings.lock());
                 self.batch.resize(self.settings().slots);
-                Ok(reply)
+                answer
             }
-            (&Method::POST, ["orders"]) => {
-                let order: Order = parse(&read_body(request.into_body()).await?)?;
+            ("POST", ["orders"]) => {
+                let order: Order = call.parse()?;
                 self.take_order(order)
             }
-            (&Method::POST, ["v1", "kv", "export"]) => {
-                let wanted = parse(&read_body(request.into_body()).await?)?;
+            ("POST", ["v1", "kv", "export"]) => {
+                let wanted = call.parse()?;
                 self.export_kv(wanted).await
             }
-            (&Method::POST, ["v1", "kv", "import"]) => {
-                let wanted = parse(&read_body(request.into_body()).await?)?;
+            ("POST", ["v1", "kv", "import"]) => {
+                let wanted = call.parse()?;
                 self.import_kv(wanted).await
             }
-            (&Method::POST, _) => self.complete(request).await,
-            _ => Err(refuse(404, "no such path")),
+            ("POST", _) => self.complete(call).await,
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
@@ -306,28 +282,26 @@
         }
     }
 
-    async fn complete(self: &Arc<Self>, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let attempt = header(&request, ATTEMPT_HEADER);
-        let priority = match header(&request, PRIORITY_HEADER).as_str() {
+    async fn complete(self: &Arc<Self>, call: Call) -> Answer {
+        let attempt = call.header(ATTEMPT_HEADER);
+        let priority = match call.header(PRIORITY_HEADER).as_str() {
             "deferred" => Priority::Deferred,
             _ => Priority::Interactive,
         };
-        let body = read_body(request.into_body()).await?;
-        let wanted: CompletionRequest = parse(&body)?;
+        let wanted: CompletionRequest = call.parse()?;
         if wanted.max_tokens == 0 {
-            return Err(refuse(400, "max_tokens must be 1 or more"));
+            return Err(reply::refuse(400, "max_tokens must be 1 or more"));
         }
         let settings = self.settings();
         self.check_admission(&settings)?;
-        let verdict = self.pick(&path, &wanted.prompt, &settings.version);
+        let verdict = self.pick(call.path(), &wanted.prompt, &settings.version);
         if verdict.crashes {
             return Err(self.crash(settings.faults.crash_exit));
         }
-        self.count_run(&attempt, &body, &settings.version);
+        self.count_run(&attempt, &call.body, &settings.version);
         tokio::time::sleep(verdict.late).await;
         if verdict.fails && settings.faults.fail_after.is_none() {
-            return Err(refuse(500, "the engine failed"));
+            return Err(reply::refuse(500, "the engine failed"));
         }
         let streamed = wanted.stream;
         let spec = run_spec(wanted, &settings, verdict);
@@ -337,18 +311,8 @@
         } else {
             self.whole_reply(&run).await
         };
-        let attempt = if verdict.crossed {
-            attempt.chars().rev().collect()
-        } else {
-            attempt
-        };
-        set_header(&mut reply, ATTEMPT_HEADER, &attempt);
-        set_header(&mut reply, VERSION_HEADER, &settings.version);
-        if verdict.lost {
-            Err(Refusal::Abort)
-        } else {
-            Ok(reply)
-        }
+        reply::set_header(&mut reply, VERSION_HEADER, &settings.version);
+        verdict.finish(reply, &attempt)
     }
 
     fn check_admission(&self, settings: &EngineSettings) -> Result<(), Refusal> {
@@ -383,7 +347,7 @@
         let mut stats = self.stats.lock();
         stats.runs += 1;
         *stats.by_attempt.entry(attempt.to_owned()).or_default() += 1;
-        *stats.by_digest.entry(digest(body)).or_default() += 1;
+        *stats.by_digest.entry(reply::digest(body)).or_default() += 1;
         *stats.by_version.entry(version.to_owned()).or_default() += 1;
     }
 
@@ -467,11 +431,11 @@
         Duration::from_micros(settings.token_us).mul_f64(factor)
     }
 
-    fn resume(self: &Arc<Self>, id: &str, request: &Request<Incoming>) -> Result<Reply, Refusal> {
+    fn resume(self: &Arc<Self>, id: &str, call: &Call) -> Answer {
         let run = self.run(id)?;
-        let from = query(request, "from").unwrap_or(0) as usize;
+        let from = call.query("from") as usize;
         if from > run.watch().borrow().tokens {
-            return Err(refuse(416, "the stream has not come that far"));
+            return Err(reply::refuse(416, "the stream has not come that far"));
         }
         self.stats.lock().resumed += 1;
         Ok(self.stream_reply(&run, from))
@@ -486,12 +450,12 @@
         let mut reply = match end {
             Some(End::Finished) => {
                 let text = run.tokens(0).concat();
-                json(200, &run.chunk(run.spec.max_tokens as usize, text))
+                reply::json(200, &run.chunk(run.spec.max_tokens as usize, text))
             }
-            Some(End::Failed) => text(500, "the engine failed"),
-            _ => text(499, "the stream was cancelled or moved"),
+            Some(End::Failed) => reply::text(500, "the engine failed"),
+            _ => reply::text(499, "the stream was cancelled or moved"),
         };
-        set_header(&mut reply, STREAM_HEADER, &run.id);
+        reply::set_header(&mut reply, STREAM_HEADER, &run.id);
         reply
     }
 
@@ -510,26 +474,26 @@
         });
         let body = StreamBody::new(ReceiverStream::new(receiver));
         let mut reply = Response::new(BodyExt::boxed(body));
-        set_header(&mut reply, "content-type", "text/event-stream");
-        set_header(&mut reply, STREAM_HEADER, &run.id);
+        reply::set_header(&mut reply, "content-type", "text/event-stream");
+        reply::set_header(&mut reply, STREAM_HEADER, &run.id);
         reply
     }
 
-    fn order(&self) -> Result<Reply, Refusal> {
+    fn order(&self) -> Answer {
         let order = self.control.lock().order.clone();
         order
-            .map(|o| json(200, &o))
-            .ok_or_else(|| refuse(404, "no order yet"))
+            .map(|o| reply::json(200, &o))
+            .ok_or_else(|| reply::refuse(404, "no order yet"))
     }
 
-    fn take_order(self: &Arc<Self>, order: Order) -> Result<Reply, Refusal> {
+    fn take_order(self: &Arc<Self>, order: Order) -> Answer {
         let settings = self.settings();
         self.stats.lock().orders.push(order.clone());
         let mut control = self.control.lock();
         let newest = control.order.as_ref().map(|o| o.epoch);
         if settings.fenced && newest.is_some_and(|epoch| order.epoch < epoch) {
             self.stats.lock().stale_orders += 1;
-            return Err(refuse(409, "a newer order is in force"));
+            return Err(reply::refuse(409, "a newer order is in force"));
         }
         control.order = Some(order.clone());
         self.settings.lock().role = order.role;
@@ -538,7 +502,7 @@
         if !loaded {
             tokio::spawn(Arc::clone(self).load_version(order));
         }
-        Ok(text(200, "taken"))
+        Ok(reply::text(200, "taken"))
     }
 
     async fn load_version(self: Arc<Self>, order: Order) {
--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthornrack_lib::ATTEMPT_HEADER;
 use parking_lot::Mutex;
 use rand::Rng;
 use rand::SeedableRng;
@@ -10,6 +11,11 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+
 /// Faults of an endpoint.
 ///
 /// Failing and slowness apply to a request only when every condition (`bad_…`) holds.
@@ -89,6 +95,20 @@
     pub(crate) lost: bool,
 }
 
+impl Verdict {
+    /// Returns a finished answer, another attempt's in its place, or none.
+    pub(crate) fn finish(self, mut reply: Reply, attempt: &str) -> Answer {
+        if self.lost {
+            return Err(Refusal::Abort);
+        }
+        if self.crossed {
+            let other: String = attempt.chars().rev().collect();
+            reply::set_header(&mut reply, ATTEMPT_HEADER, &other);
+        }
+        Ok(reply)
+    }
+}
+
 /// A request as the faults see it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Subject<'a> {
--- a/lab/src/kv.rs
+++ b/lab/src/kv.rs
@@ -17,10 +17,8 @@
 use crate::engine::Engine;
 use crate::generation::RunSpec;
 use crate::generation::count_tokens;
-use crate::reply::Refusal;
-use crate::reply::Reply;
-use crate::reply::json;
-use crate::reply::refuse;
+use crate::reply;
+use crate::reply::Answer;
 
 /// Time limit of the transfer of a cache.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -40,7 +38,7 @@
 }
 
 impl Engine {
-    pub(crate) async fn export_kv(&self, wanted: KvExport) -> Result<Reply, Refusal> {
+    pub(crate) async fn export_kv(&self, wanted: KvExport) -> Answer {
         let run = self.run(&wanted.stream)?;
         run.exported.store(true, Ordering::Relaxed);
         run.cancel.cancel();
@@ -64,24 +62,24 @@
         };
         self.exports.lock().insert(handle.handle.clone(), state);
         self.stats.lock().exported += 1;
-        Ok(json(200, &handle))
+        Ok(reply::json(200, &handle))
     }
 
-    pub(crate) async fn send_kv(&self, handle: &str) -> Result<Reply, Refusal> {
+    pub(crate) async fn send_kv(&self, handle: &str) -> Answer {
         let state = self.exports.lock().get(handle).cloned();
-        let state = state.ok_or_else(|| refuse(404, "no such cache"))?;
+        let state = state.ok_or_else(|| reply::refuse(404, "no such cache"))?;
         let millis = state.bytes / self.settings().kv_rate.max(1);
         tokio::time::sleep(Duration::from_millis(millis)).await;
-        Ok(json(200, &state))
+        Ok(reply::json(200, &state))
     }
 
-    pub(crate) async fn import_kv(self: &Arc<Self>, wanted: KvImport) -> Result<Reply, Refusal> {
+    pub(crate) async fn import_kv(self: &Arc<Self>, wanted: KvImport) -> Answer {
         let path = format!("/v1/kv/{}", wanted.handle);
         let fetched = self
             .client
             .call::<(), KvState>(wanted.source, Method::GET, &path, None, TRANSFER_TIMEOUT)
             .await;
-        let state = fetched.map_err(|error| refuse(502, &error.to_string()))?;
+        let state = fetched.map_err(|error| reply::refuse(502, &error.to_string()))?;
         self.stats.lock().imported += 1;
         let spec = RunSpec {
             model: state.model,
@@ -94,6 +92,6 @@
         };
         let run = self.start(spec, Priority::Interactive);
         let stream = run.id.clone();
-        Ok(json(200, &KvStream { stream }))
+        Ok(reply::json(200, &KvStream { stream }))
     }
 }
--- a/lab/src/log.rs
+++ b/lab/src/log.rs
@@ -9,10 +9,6 @@
 use hawthornrack_lib::Offset;
 use hawthornrack_lib::ReadReply;
 use hawthornrack_lib::Record;
-use hawthornrack_lib::serve;
-use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -23,19 +19,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::rate::TokenBucket;
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 use crate::reply::Refusal;
 use crate::reply::Reply;
-use crate::reply::control;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::parse;
-use crate::reply::query;
-use crate::reply::read_body;
-use crate::reply::refuse;
-use crate::reply::text;
 
 /// Records in an answer when the reader names no limit.
-const DEFAULT_LIMIT: u64 = 1000;
+const DEFAULT_LIMIT: usize = 1000;
 
 /// How the log behaves during an outage.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -162,42 +153,39 @@
             streams: IndexMap::new(),
         }),
     });
-    serve(listener, limits(), stop, move |request, _peer| {
+    reply::host(listener, stop, move |call| {
         let log = Arc::clone(&log);
-        async move { log.answer(request).await.unwrap_or_else(Reply::from) }
+        async move { log.answer(call).await }
     })
     .await;
 }
 
 impl Log {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match (request.method(), segments.as_slice()) {
-            (&Method::GET, ["stats"]) => Ok(json(200, &self.inner.lock().stats)),
-            (&Method::POST, ["control"]) => {
-                let change = read_body(request.into_body()).await?;
-                let reply = control(&mut self.inner.lock().settings, &change);
+    async fn answer(&self, call: Call) -> Answer {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["stats"]) => Ok(reply::json(200, &self.inner.lock().stats)),
+            ("POST", ["control"]) => {
+                let answer = call.control(&mut self.inner.lock().settings);
                 self.appended.notify_waiters();
-                Ok(reply)
+                answer
             }
-            (&Method::POST, ["control", "expire"]) => {
-                let expiry: Expiry = parse(&read_body(request.into_body()).await?)?;
+            ("POST", ["control", "expire"]) => {
+                let expiry: Expiry = call.parse()?;
                 let mut inner = self.inner.lock();
                 inner
                     .streams
                     .entry(expiry.stream)
                     .or_default()
                     .expire(expiry.before);
-                Ok(text(200, "expired"))
+                Ok(reply::text(200, "expired"))
             }
-            (&Method::GET, ["streams", stream, "records"]) => self.read(stream, &request).await,
-            (&Method::POST, ["streams", stream, "records"]) => {
+            ("GET", ["streams", stream, "records"]) => self.read(stream, &call).await,
+            ("POST", ["streams", stream, "records"]) => {
                 self.pass_outage().await?;
-                let body: AppendRequest = parse(&read_body(request.into_body()).await?)?;
+                let body: AppendRequest = call.parse()?;
                 self.append(stream, body)
             }
-            _ => Err(refuse(404, "no such path")),
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
@@ -211,7 +199,7 @@
         }
     }
 
-    fn append(&self, stream: &str, request: AppendRequest) -> Result<Reply, Refusal> {
+    fn append(&self, stream: &str, request: AppendRequest) -> Answer {
         let mut guard = self.inner.lock();
         let inner = &mut *guard;
         let affected = applies(&inner.settings, stream);
@@ -238,14 +226,17 @@
             inner.settings.lose_answers -= 1;
             return Err(Refusal::Abort);
         }
-        Ok(json(200, &AppendReply { first }))
+        Ok(reply::json(200, &AppendReply { first }))
     }
 
-    async fn read(&self, stream: &str, request: &Request<Incoming>) -> Result<Reply, Refusal> {
+    async fn read(&self, stream: &str, call: &Call) -> Answer {
         self.pass_outage().await?;
-        let from = query(request, "from").unwrap_or(0);
-        let limit = query(request, "limit").unwrap_or(DEFAULT_LIMIT) as usize;
-        let wait = Duration::from_millis(query(request, "wait_ms").unwrap_or(0));
+        let from = call.query("from");
+        let limit = match call.query("limit") {
+            0 => DEFAULT_LIMIT,
+            limit => limit as usize,
+        };
+        let wait = Duration::from_millis(call.query("wait_ms"));
         let deadline = Instant::now() + wait;
         loop {
             let appended = self.appended.notified();
@@ -255,10 +246,10 @@
             }
             let reply = self.select(stream, from, limit);
             if from < reply.first.0 {
-                return Ok(json(410, &reply));
+                return Ok(reply::json(410, &reply));
             }
             if !reply.records.is_empty() || Instant::now() >= deadline {
-                let answer = json(200, &reply);
+                let answer = reply::json(200, &reply);
                 self.count(&answer);
                 return Ok(answer);
             }
--- a/lab/src/plain.rs
+++ b/lab/src/plain.rs
@@ -8,10 +8,6 @@
 use hawthornrack_lib::ATTEMPT_HEADER;
 use hawthornrack_lib::IDEMPOTENCY_HEADER;
 use hawthornrack_lib::KeySupport;
-use hawthornrack_lib::serve;
-use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -24,18 +20,11 @@
 use crate::fault::Faults;
 use crate::fault::Subject;
 use crate::fault::Verdict;
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 use crate::reply::Refusal;
 use crate::reply::Reply;
-use crate::reply::abort;
-use crate::reply::control;
-use crate::reply::digest;
-use crate::reply::header;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::read_body;
-use crate::reply::refuse;
-use crate::reply::return_attempt;
-use crate::reply::set_header;
 
 /// Settings of a plain service.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -127,34 +116,23 @@
         stats: Mutex::default(),
         stored: Mutex::default(),
     });
-    serve(listener, limits(), down, move |request, _peer| {
+    reply::host(listener, down, move |call| {
         let plain = Arc::clone(&plain);
-        async move {
-            let attempt = header(&request, ATTEMPT_HEADER);
-            let mut reply = tokio::select! {
-                () = plain.down.cancelled() => abort(),
-                reply = plain.answer(request) => reply.unwrap_or_else(Reply::from),
-            };
-            return_attempt(&mut reply, &attempt);
-            reply
-        }
+        async move { plain.answer(call).await }
     })
     .await;
 }
 
 impl Plain {
-    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match (request.method(), segments.as_slice()) {
-            (&Method::GET, ["stats"]) => Ok(json(200, &self.stats())),
-            (&Method::POST, ["control"]) => {
-                let change = read_body(request.into_body()).await?;
+    async fn answer(self: &Arc<Self>, call: Call) -> Answer {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["stats"]) => Ok(reply::json(200, &self.stats())),
+            ("POST", ["control"]) => {
                 self.picker.restart();
-                Ok(control(&mut *self.settings.lock(), &change))
+                call.control(&mut *self.settings.lock())
             }
-            (&Method::GET, ["keys", key]) => self.look_up(key).await,
-            _ => self.call(request).await,
+            ("GET", ["keys", key]) => self.look_up(key).await,
+            _ => self.call(call).await,
         }
     }
 
@@ -165,51 +143,39 @@
         }
     }
 
-    async fn look_up(&self, key: &str) -> Result<Reply, Refusal> {
+    async fn look_up(&self, key: &str) -> Answer {
         let support = self.settings.lock().keys;
         let stored = self.stored.lock().get(key).cloned();
         match (support, stored) {
             (KeySupport::Lookup, Some(stored)) => outcome(stored).await,
-            _ => Err(refuse(404, "no such key")),
+            _ => Err(reply::refuse(404, "no such key")),
         }
     }
 
-    async fn call(self: &Arc<Self>, request: Request<Incoming>) -> Result<Reply, Refusal> {
+    async fn call(self: &Arc<Self>, call: Call) -> Answer {
         let mut answer = PlainAnswer {
-            attempt: header(&request, ATTEMPT_HEADER),
-            key: header(&request, IDEMPOTENCY_HEADER),
-            method: request.method().to_string(),
-            path: request.uri().to_string(),
+            attempt: call.header(ATTEMPT_HEADER),
+            key: call.header(IDEMPOTENCY_HEADER),
+            method: call.method().to_owned(),
+            path: call.uri(),
             ..PlainAnswer::default()
         };
-        let path = request.uri().path().to_owned();
-        let body = read_body(request.into_body()).await?;
-        answer.digest = digest(&body);
-        answer.body = String::from_utf8_lossy(&body).into_owned();
+        answer.digest = reply::digest(&call.body);
+        answer.body = String::from_utf8_lossy(&call.body).into_owned();
         let settings = self.settings.lock().clone();
         answer.server = settings.name;
         answer.version = settings.version;
         let attempt = answer.attempt.clone();
-        let verdict = self.pick(&path, &answer);
+        let verdict = self.pick(call.path(), &answer);
         if verdict.crashes {
             self.crash(settings.faults.crash_exit);
             return Err(Refusal::Abort);
         }
         let run_time = Duration::from_millis(settings.run_ms).mul_f64(verdict.slow);
         let result = self.start(settings.keys, answer, verdict, run_time);
-        let mut reply = outcome(result).await.unwrap_or_else(Reply::from);
+        let reply = outcome(result).await.unwrap_or_else(Reply::from);
         tokio::time::sleep(verdict.late).await;
-        let attempt = if verdict.crossed {
-            attempt.chars().rev().collect()
-        } else {
-            attempt
-        };
-        set_header(&mut reply, ATTEMPT_HEADER, &attempt);
-        if verdict.lost {
-            Err(Refusal::Abort)
-        } else {
-            Ok(reply)
-        }
+        verdict.finish(reply, &attempt)
     }
 
     fn pick(&self, path: &str, answer: &PlainAnswer) -> Verdict {
@@ -275,11 +241,11 @@
 /// Exit status of a process that a request crashed.
 pub(crate) const CRASH_STATUS: i32 = 101;
 
-async fn outcome(mut result: watch::Receiver<Outcome>) -> Result<Reply, Refusal> {
+async fn outcome(mut result: watch::Receiver<Outcome>) -> Answer {
     let result = result.wait_for(Option::is_some).await;
     match result.as_deref() {
-        Ok(Some(Ok(answer))) => Ok(json(200, answer)),
-        Ok(Some(Err(status))) => Err(refuse(*status, "the request failed")),
+        Ok(Some(Ok(answer))) => Ok(reply::json(200, answer)),
+        Ok(Some(Err(status))) => Err(reply::refuse(*status, "the request failed")),
         _ => Err(Refusal::Abort),
     }
 }
--- a/lab/src/proxy.rs
+++ b/lab/src/proxy.rs
@@ -7,10 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornrack_lib::serve;
-use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -26,13 +22,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::reply::Refusal;
-use crate::reply::Reply;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::parse;
-use crate::reply::read_body;
-use crate::reply::refuse;
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 
 /// Size of the buffer of a direction, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -127,40 +119,38 @@
         links: Mutex::default(),
         stop: stop.clone(),
     });
-    serve(listener, limits(), stop, move |request, _peer| {
+    reply::host(listener, stop, move |call| {
         let proxy = Arc::clone(&proxy);
-        async move { proxy.answer(request).await.unwrap_or_else(Reply::from) }
+        async move { proxy.answer(call).await }
     })
     .await;
 }
 
 impl Proxy {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match (request.method(), segments.as_slice()) {
-            (&Method::GET, ["links"]) => {
+    async fn answer(&self, call: Call) -> Answer {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["links"]) => {
                 let links = self.links.lock();
                 let infos: Vec<LinkInfo> = links.values().map(|l| l.info()).collect();
-                Ok(json(200, &infos))
+                Ok(reply::json(200, &infos))
             }
-            (&Method::POST, ["links"]) => {
-                let wanted: LinkRequest = parse(&read_body(request.into_body()).await?)?;
+            ("POST", ["links"]) => {
+                let wanted: LinkRequest = call.parse()?;
                 self.create(wanted).await
             }
-            (&Method::PUT, ["links", name]) => {
-                let change: LinkChange = parse(&read_body(request.into_body()).await?)?;
+            ("PUT", ["links", name]) => {
+                let change: LinkChange = call.parse()?;
                 let link = self.links.lock().get(*name).cloned();
-                let link = link.ok_or_else(|| refuse(404, "no such link"))?;
+                let link = link.ok_or_else(|| reply::refuse(404, "no such link"))?;
                 link.change(change);
-                Ok(json(200, &link.info()))
+                Ok(reply::json(200, &link.info()))
             }
-            _ => Err(refuse(404, "no such path")),
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
-    async fn create(&self, wanted: LinkRequest) -> Result<Reply, Refusal> {
-        let failed = |error: std::io::Error| refuse(500, &error.to_string());
+    async fn create(&self, wanted: LinkRequest) -> Answer {
+        let failed = |error: std::io::Error| reply::refuse(500, &error.to_string());
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(failed)?;
         let state = LinkState {
             target: wanted.target,
@@ -175,7 +165,7 @@
         });
         let mut links = self.links.lock();
         if links.contains_key(&wanted.name) {
-            return Err(refuse(409, "a link of this name exists"));
+            return Err(reply::refuse(409, "a link of this name exists"));
         }
         links.insert(wanted.name, Arc::clone(&link));
         let info = link.info();
@@ -186,7 +176,7 @@
                 () = link.accept(listener, &stop) => {}
             }
         });
-        Ok(json(200, &info))
+        Ok(reply::json(200, &info))
     }
 }
 
--- a/lab/src/reply.rs
+++ b/lab/src/reply.rs
@@ -9,16 +9,20 @@
 use hawthornrack_lib::ReplyBody;
 use hawthornrack_lib::ServerLimits;
 use hawthornrack_lib::full_body;
+use hawthornrack_lib::serve;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// Time for which a stopping stand-in waits for requests in progress.
 const DRAIN: Duration = Duration::from_millis(200);
@@ -26,14 +30,6 @@
 /// Answer of a stand-in.
 pub(crate) type Reply = Response<ReplyBody>;
 
-/// Returns the limits that every stand-in serves with.
-pub(crate) fn limits() -> ServerLimits {
-    ServerLimits {
-        drain: DRAIN,
-        ..ServerLimits::default()
-    }
-}
-
 /// Settings that cannot be read.
 #[derive(Debug, displaydoc::Display, Error)]
 pub enum SettingsError {
@@ -53,7 +49,7 @@
 }
 
 /// Applies a JSON merge patch (RFC 7396) to settings.
-pub(crate) fn patch_settings<T>(settings: &mut T, patch: &[u8]) -> Result<(), SettingsError>
+fn patch_settings<T>(settings: &mut T, patch: &[u8]) -> Result<(), SettingsError>
 where
     T: DeserializeOwned + Serialize,
 {
@@ -83,22 +79,6 @@
     }
 }
 
-/// Applies the body of a control request to settings and answers with what is now in force.
-pub(crate) fn control<T>(settings: &mut T, patch: &[u8]) -> Reply
-where
-    T: DeserializeOwned + Serialize,
-{
-    match patch_settings(settings, patch) {
-        Ok(()) => json(200, settings),
-        Err(error) => text(400, &error.to_string()),
-    }
-}
-
-/// Reads a JSON body, or returns the answer that refuses it.
-pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    serde_json::from_slice(body).map_err(|error| refuse(400, &error.to_string()))
-}
-
 /// Returns an answer with a JSON body.
 pub(crate) fn json<T: Serialize>(status: u16, value: &T) -> Reply {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
@@ -115,6 +95,9 @@
     reply
 }
 
+/// Result of a handler.
+pub(crate) type Answer = Result<Reply, Refusal>;
+
 /// Why a request gets no ordinary answer.
 #[derive(Debug)]
 pub(crate) enum Refusal {
@@ -146,7 +129,7 @@
 }
 
 /// Returns an answer that closes the connection before a byte of it is sent.
-pub(crate) fn abort() -> Reply {
+fn abort() -> Reply {
     let error: BodyError = "connection aborted".into();
     let frames = stream::iter([Err::<Frame<Bytes>, BodyError>(error)]);
     Response::new(BodyExt::boxed(StreamBody::new(frames)))
@@ -166,34 +149,104 @@
     }
 }
 
-/// Returns the attempt's identifier unchanged, unless the answer already carries one.
-pub(crate) fn return_attempt(reply: &mut Reply, attempt: &str) {
-    if !attempt.is_empty() && !reply.headers().contains_key(ATTEMPT_HEADER) {
-        set_header(reply, ATTEMPT_HEADER, attempt);
+/// A request with its whole body.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) body: Bytes,
+    head: Parts,
+}
+
+impl Call {
+    async fn read(request: Request<Incoming>) -> Result<Self, Refusal> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|error| refuse(400, &error.to_string()))?;
+        Ok(Self {
+            body: body.to_bytes(),
+            head,
+        })
+    }
+
+    /// Returns the method.
+    pub(crate) fn method(&self) -> &str {
+        self.head.method.as_str()
     }
-}
 
-/// Returns a request's header as text, empty when it is missing.
-pub(crate) fn header(request: &Request<Incoming>, name: &str) -> String {
-    let value = request.headers().get(name).and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
+    /// Returns the path without the query.
+    pub(crate) fn path(&self) -> &str {
+        self.head.uri.path()
+    }
 
-/// Reads a request's whole body, or returns the answer to a body that did not arrive.
-pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
-    let collected = body.collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|error| refuse(400, &error.to_string()))
+    /// Returns the path with the query.
+    pub(crate) fn uri(&self) -> String {
+        self.head.uri.to_string()
+    }
+
+    /// Returns the parts of the path.
+    pub(crate) fn segments(&self) -> Vec<&str> {
+        self.path().trim_matches('/').split('/').collect()
+    }
+
+    /// Returns a header as text, empty when it is missing.
+    pub(crate) fn header(&self, name: &str) -> String {
+        let value = self.head.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    }
+
+    /// Returns a number from the query, zero when it is missing.
+    pub(crate) fn query(&self, name: &str) -> u64 {
+        let mut pairs = self.head.uri.query().unwrap_or_default().split('&');
+        let found = pairs.find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+        found.and_then(|v| v.parse().ok()).unwrap_or(0)
+    }
+
+    /// Reads the body as JSON.
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, Refusal> {
+        serde_json::from_slice(&self.body).map_err(|error| refuse(400, &error.to_string()))
+    }
+
+    /// Applies the body as a patch to settings and answers with what is now in force.
+    pub(crate) fn control<T>(&self, settings: &mut T) -> Answer
+    where
+        T: DeserializeOwned + Serialize,
+    {
+        match patch_settings(settings, &self.body) {
+            Ok(()) => Ok(json(200, settings)),
+            Err(error) => Err(refuse(400, &error.to_string())),
+        }
+    }
 }
 
-/// Returns a number from a query string.
-pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
-    let pairs = request.uri().query()?.split('&');
-    let found = pairs
-        .filter_map(|p| p.split_once('='))
-        .find(|p| p.0 == name);
-    found?.1.parse().ok()
+/// Serves a stand-in until `down` is cancelled, which also ends the requests in progress.
+///
+/// The attempt's identifier is returned unchanged unless the answer carries another one.
+pub(crate) async fn host<H, F>(listener: TcpListener, down: CancellationToken, handler: H)
+where
+    H: Fn(Call) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send,
+{
+    let limits = ServerLimits {
+        drain: DRAIN,
+        ..ServerLimits::default()
+    };
+    let ended = down.clone();
+    serve(listener, limits, down, move |request, _peer| {
+        let handler = handler.clone();
+        let ended = ended.clone();
+        async move {
+            let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
+            let answer = async { handler(Call::read(request).await?).await };
+            let mut reply = tokio::select! {
+                () = ended.cancelled() => abort(),
+                reply = answer => reply.unwrap_or_else(Reply::from),
+            };
+            if let Some(attempt) = attempt {
+                reply.headers_mut().entry(ATTEMPT_HEADER).or_insert(attempt);
+            }
+            reply
+        }
+    })
+    .await;
 }
 
 /// Returns the hash (xxh3, 64 bits) of a body in hexadecimal.
--- a/lab/src/weights.rs
+++ b/lab/src/weights.rs
@@ -3,10 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthornrack_lib::serve;
-use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -15,14 +11,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::rate::TokenBucket;
+use crate::reply;
+use crate::reply::Answer;
+use crate::reply::Call;
 use crate::reply::Refusal;
-use crate::reply::Reply;
-use crate::reply::control;
-use crate::reply::json;
-use crate::reply::limits;
-use crate::reply::read_body;
-use crate::reply::refuse;
-use crate::reply::text;
 
 /// Settings of the weight store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -71,30 +63,24 @@
         settings: Mutex::new(settings),
         stats: Mutex::default(),
     });
-    serve(listener, limits(), stop, move |request, _peer| {
+    reply::host(listener, stop, move |call| {
         let store = Arc::clone(&store);
-        async move { store.answer(request).await.unwrap_or_else(Reply::from) }
+        async move { store.answer(call).await }
     })
     .await;
 }
 
 impl Store {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
-        let path = request.uri().path().to_owned();
-        if let Some(model) = path.strip_prefix("/weights/") {
-            return self.fetch(model).await;
-        }
-        match (request.method(), path.as_str()) {
-            (&Method::GET, "/stats") => Ok(json(200, &*self.stats.lock())),
-            (&Method::POST, "/control") => {
-                let change = read_body(request.into_body()).await?;
-                Ok(control(&mut *self.settings.lock(), &change))
-            }
-            _ => Err(refuse(404, "no such path")),
+    async fn answer(&self, call: Call) -> Answer {
+        match (call.method(), call.segments().as_slice()) {
+            ("GET", ["weights", model]) => self.fetch(model).await,
+            ("GET", ["stats"]) => Ok(reply::json(200, &*self.stats.lock())),
+            ("POST", ["control"]) => call.control(&mut *self.settings.lock()),
+            _ => Err(reply::refuse(404, "no such path")),
         }
     }
 
-    async fn fetch(&self, model: &str) -> Result<Reply, Refusal> {
+    async fn fetch(&self, model: &str) -> Answer {
         let settings = self.settings.lock().clone();
         let taken = self.bucket.lock().take(settings.per_sec, settings.burst);
         if let Err(wait) = taken {
@@ -108,6 +94,6 @@
             .entry(model.to_owned())
             .or_default() += 1;
         tokio::time::sleep(Duration::from_millis(settings.fetch_ms)).await;
-        Ok(text(200, &"w".repeat(settings.bytes)))
+        Ok(reply::text(200, &"w".repeat(settings.bytes)))
     }
 }
