--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -1,38 +1,26 @@
 //! Stand-in for a model engine.
 
 use std::collections::VecDeque;
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hawthornrack_lib::ATTEMPT_HEADER;
-use hawthornrack_lib::BodyError;
 use hawthornrack_lib::Clock;
 use hawthornrack_lib::CompletionRequest;
-use hawthornrack_lib::DONE;
 use hawthornrack_lib::HttpClient;
 use hawthornrack_lib::LoadReport;
 use hawthornrack_lib::Order;
 use hawthornrack_lib::PRIORITY_HEADER;
 use hawthornrack_lib::Priority;
 use hawthornrack_lib::Role;
-use hawthornrack_lib::STREAM_HEADER;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
-use hyper::Method;
-use hyper::Response;
-use hyper::body::Frame;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::Batch;
@@ -42,30 +30,20 @@
 use crate::fault::Subject;
 use crate::fault::Verdict;
 use crate::generation::End;
-use crate::generation::Reader;
 use crate::generation::Run;
 use crate::generation::RunSpec;
 use crate::generation::TextSource;
 use crate::generation::count_tokens;
 use crate::kv::KvExports;
+use crate::orders::Control;
 use crate::reply;
 use crate::reply::Answer;
 use crate::reply::Call;
 use crate::reply::Refusal;
-use crate::reply::Reply;
 
 /// Interval between two readings of the load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Pause after the weight store refused a fetch.
-const WEIGHTS_PAUSE: Duration = Duration::from_millis(250);
-
-/// Time limit of a fetch from the weight store.
-const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Events in flight to a reader.
-const READER_EVENTS: usize = 16;
-
 /// Header that names the version that answers.
 const VERSION_HEADER: &str = "x-version";
 
@@ -176,26 +154,20 @@
     pub version: String,
 }
 
-#[derive(Default)]
-struct Control {
-    order: Option<Order>,
-    loading: bool,
-}
-
 pub(crate) struct Engine {
     batch: Batch,
     pub(crate) cache: Mutex<PrefixCache>,
     pub(crate) client: HttpClient,
     clock: Clock,
-    control: Mutex<Control>,
-    down: CancellationToken,
+    pub(crate) control: Mutex<Control>,
+    pub(crate) down: CancellationToken,
     pub(crate) exports: Mutex<KvExports>,
     loads: Mutex<VecDeque<(Instant, LoadReport)>>,
     picker: FaultPicker,
     /// Held by the request whose prompt is being computed.
     prefill: tokio::sync::Mutex<()>,
     runs: Mutex<IndexMap<String, Arc<Run>>>,
-    settings: Mutex<EngineSettings>,
+    pub(crate) settings: Mutex<EngineSettings>,
     pub(crate) stats: Mutex<EngineStats>,
 }
 
@@ -431,111 +403,6 @@
         Duration::from_micros(settings.token_us).mul_f64(factor)
     }
 
-    fn resume(self: &Arc<Self>, id: &str, call: &Call) -> Answer {
-        let run = self.run(id)?;
-        let from = call.query("from") as usize;
-        if from > run.watch().borrow().tokens {
-            return Err(reply::refuse(416, "the stream has not come that far"));
-        }
-        self.stats.lock().resumed += 1;
-        Ok(self.stream_reply(&run, from))
-    }
-
-    async fn whole_reply(&self, run: &Arc<Run>) -> Reply {
-        let reader = Reader::new(Arc::clone(run));
-        let mut progress = run.watch();
-        let ended = progress.wait_for(|p| p.end.is_some()).await;
-        let end = ended.ok().and_then(|p| p.end);
-        drop(reader);
-        let mut reply = match end {
-            Some(End::Finished) => {
-                let text = run.tokens(0).concat();
-                reply::json(200, &run.chunk(run.spec.max_tokens as usize, text))
-            }
-            Some(End::Failed) => reply::text(500, "the engine failed"),
-            _ => reply::text(499, "the stream was cancelled or moved"),
-        };
-        reply::set_header(&mut reply, STREAM_HEADER, &run.id);
-        reply
-    }
-
-    fn stream_reply(&self, run: &Arc<Run>, from: usize) -> Reply {
-        let (sender, receiver) = mpsc::channel(READER_EVENTS);
-        let reader = Reader::new(Arc::clone(run));
-        let down = self.down.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = sender.closed() => {}
-                () = send_events(&reader, from, &sender) => {}
-                () = down.cancelled() => {
-                    let _ = sender.try_send(Err("the engine crashed".into()));
-                }
-            }
-        });
-        let body = StreamBody::new(ReceiverStream::new(receiver));
-        let mut reply = Response::new(BodyExt::boxed(body));
-        reply::set_header(&mut reply, "content-type", "text/event-stream");
-        reply::set_header(&mut reply, STREAM_HEADER, &run.id);
-        reply
-    }
-
-    fn order(&self) -> Answer {
-        let order = self.control.lock().order.clone();
-        order
-            .map(|o| reply::json(200, &o))
-            .ok_or_else(|| reply::refuse(404, "no order yet"))
-    }
-
-    fn take_order(self: &Arc<Self>, order: Order) -> Answer {
-        let settings = self.settings();
-        self.stats.lock().orders.push(order.clone());
-        let mut control = self.control.lock();
-        let newest = control.order.as_ref().map(|o| o.epoch);
-        if settings.fenced && newest.is_some_and(|epoch| order.epoch < epoch) {
-            self.stats.lock().stale_orders += 1;
-            return Err(reply::refuse(409, "a newer order is in force"));
-        }
-        control.order = Some(order.clone());
-        self.settings.lock().role = order.role;
-        let loaded = settings.version == order.version.as_str() && settings.model == order.model;
-        control.loading = !loaded;
-        if !loaded {
-            tokio::spawn(Arc::clone(self).load_version(order));
-        }
-        Ok(reply::text(200, "taken"))
-    }
-
-    async fn load_version(self: Arc<Self>, order: Order) {
-        let settings = self.settings();
-        if let Some(store) = settings.weights {
-            self.fetch_weights(store, &order.model).await;
-        }
-        tokio::time::sleep(Duration::from_millis(settings.load_ms)).await;
-        let mut control = self.control.lock();
-        if control.order.as_ref() != Some(&order) {
-            return;
-        }
-        control.loading = false;
-        let mut settings = self.settings.lock();
-        settings.version = order.version.to_string();
-        settings.model = order.model;
-        self.cache.lock().clear();
-    }
-
-    async fn fetch_weights(&self, store: SocketAddr, model: &str) {
-        let path = format!("/weights/{model}");
-        loop {
-            let get = Method::GET;
-            let fetched = self
-                .client
-                .call_bytes::<()>(store, get, &path, None, WEIGHTS_TIMEOUT);
-            if fetched.await.is_ok() {
-                return;
-            }
-            tokio::time::sleep(WEIGHTS_PAUSE).await;
-        }
-    }
-
     async fn sample_load(self: Arc<Self>) {
         while !self.down.is_cancelled() {
             let settings = self.settings();
@@ -585,38 +452,3 @@
         fail_after: settings.faults.fail_after.filter(|_| verdict.fails),
     }
 }
-
-type Events = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
-
-/// Sends a run's tokens as server-sent events until it ends.
-async fn send_events(reader: &Reader, from: usize, sender: &Events) {
-    let run = &reader.0;
-    let mut progress = run.watch();
-    let mut sent = from;
-    loop {
-        let now = *progress.borrow_and_update();
-        let mut events = String::new();
-        for token in run.tokens(sent) {
-            sent += 1;
-            let chunk = serde_json::to_string(&run.chunk(sent, token)).unwrap_or_default();
-            let _ = write!(events, "id: {sent}\ndata: {chunk}\n\n");
-        }
-        if now.end == Some(End::Finished) {
-            let _ = write!(events, "data: {DONE}\n\n");
-        }
-        if !events.is_empty() && sender.send(Ok(Frame::data(events.into()))).await.is_err() {
-            return;
-        }
-        match now.end {
-            None => {}
-            Some(End::Finished) => return,
-            Some(_) => {
-                let _ = sender.send(Err("the stream ended early".into())).await;
-                return;
-            }
-        }
-        if progress.changed().await.is_err() {
-            return;
-        }
-    }
-}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,10 +13,12 @@
 mod generation;
 mod kv;
 mod log;
+mod orders;
 mod plain;
 mod proxy;
 mod rate;
 mod reply;
+mod stream;
 mod weights;
 
 pub use cache::*;
