--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -1,3 +1,7 @@
-//! The hawthornrack programs: each is a thin binary over a module here.
+//! What the hawthornrack programs have in common.
+
+mod process;
 
 pub mod lab_commands;
+
+pub use process::*;
