--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod process;
 
+pub mod ctl_commands;
 pub mod lab_commands;
 
 pub use process::*;
