--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -22,9 +22,11 @@
 use crate::Result;
 use crate::RpcClients;
 use crate::SharedKey;
+use crate::claim_tail::ClaimStore;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
+use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
@@ -37,6 +39,7 @@
     pub kernel: Arc<Kernel>,
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
+    pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
     pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
@@ -86,6 +89,7 @@
             kernel: Kernel::new(&process, settings.place.node.clone()),
             settings,
             addrs,
+            claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
             contact: Contact::new(),
             live: LiveStore::new(),
@@ -95,6 +99,7 @@
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
+        serve_operators(&controller, operators);
         Ok(controller)
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! The library knows nothing of command lines; the programs are thin binaries over it.
 
+mod append_batcher;
 mod attempt;
 mod call;
 mod checkpoint;
 mod checkpoint_writer;
+mod claim_rpc;
+mod claim_state;
+mod claim_tail;
 mod config_store;
 mod config_submit;
 mod config_tail;
@@ -17,6 +21,9 @@
 mod entries;
 mod error;
 mod event;
+mod events_rpc;
+mod fold_clock;
+mod fold_store;
 mod gate;
 mod gate_http;
 mod http_client;
@@ -27,6 +34,7 @@
 mod link;
 mod live_store;
 mod log_client;
+mod operator_access;
 mod operator_convert;
 pub mod operator_proto;
 mod operator_report;
@@ -47,12 +55,15 @@
 mod settings;
 mod shared_key;
 mod state;
+mod stream_tail;
 mod table;
 mod table_rpc;
 mod time;
 mod token;
 
 pub use checkpoint::*;
+pub use claim_rpc::*;
+pub use claim_state::*;
 pub use contact::ISOLATION_LIMIT;
 pub use controller::*;
 pub use declaration::*;
@@ -61,6 +72,8 @@
 pub use entries::*;
 pub use error::*;
 pub use event::*;
+pub use events_rpc::*;
+pub use fold_clock::*;
 pub use gate::*;
 pub use http_client::*;
 pub use http_server::*;
