--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -16,12 +16,13 @@
 use crate::HttpLog;
 use crate::Kernel;
 use crate::LiveView;
-use crate::Member;
+use crate::MemberFact;
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
 use crate::RpcClients;
 use crate::SharedKey;
+use crate::Timestamp;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
@@ -82,17 +83,19 @@
             rpc: bound(&rpc)?,
             operators: bound(&operators)?,
         };
+        let kernel = Kernel::new(&process, settings.place.node.clone());
+        let own = own_member(&settings, addrs, kernel.clock.now());
+        let live = LiveStore::new(own, kernel.clock, kernel.events.clone());
         let controller = Arc::new(Self {
-            kernel: Kernel::new(&process, settings.place.node.clone()),
+            kernel,
             settings,
             addrs,
             config: ConfigStore::new(),
             contact: Contact::new(),
-            live: LiveStore::new(),
+            live,
             log,
             rpc: RpcClients::new(key.clone()),
         });
-        controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
         Ok(controller)
@@ -133,18 +136,6 @@
         self.settings.advertise.unwrap_or(self.addrs.rpc)
     }
 
-    fn own_member(&self) -> Member {
-        let place = &self.settings.place;
-        Member {
-            node: place.node.clone(),
-            domain: place.domain.clone(),
-            region: place.region.clone(),
-            controller: self.advertised(),
-            gate: None,
-            state: MemberState::Alive,
-        }
-    }
-
     fn start_plugins(self: &Arc<Self>) -> Result<()> {
         for plugin in plugins() {
             (plugin.start)(self)?;
@@ -164,6 +155,21 @@
     }
 }
 
+/// Describes this node as a member that has just started.
+fn own_member(settings: &ControllerSettings, addrs: ControllerAddrs, now: Timestamp) -> MemberFact {
+    let place = &settings.place;
+    MemberFact {
+        node: place.node.clone(),
+        incarnation: now.0,
+        state: MemberState::Alive,
+        since: now,
+        domain: place.domain.clone(),
+        region: place.region.clone(),
+        vm: place.vm.clone(),
+        controller: settings.advertise.unwrap_or(addrs.rpc),
+    }
+}
+
 fn plugins() -> Vec<&'static ControllerPlugin> {
     let mut plugins: Vec<_> = inventory::iter::<ControllerPlugin>.into_iter().collect();
     plugins.sort_by_key(|p| (p.stage, p.name));
--- a/lib/src/entries.rs
+++ b/lib/src/entries.rs
@@ -55,9 +55,12 @@
     }
 }
 
+/// Returns the gate of a member that takes new callers.
+///
+/// A gate whose own controller is dead stays usable while it follows another one.
 fn usable<'a>(member: &'a Member, _table: &RoutingTable) -> Option<&'a GateInfo> {
-    let alive = matches!(member.state, MemberState::Alive | MemberState::Suspect);
-    member.gate.as_ref().filter(|g| alive && g.accepting)
+    let stays = member.state != MemberState::Leaving;
+    member.gate.as_ref().filter(|g| stays && g.accepting)
 }
 
 /// Returns the answer that holds a list.
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -13,6 +13,7 @@
 use crate::GateSettings;
 use crate::HttpClient;
 use crate::Kernel;
+use crate::Reports;
 use crate::Result;
 use crate::RpcClients;
 use crate::ServerLimits;
@@ -38,6 +39,8 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    /// What the gate has to report to its controller.
+    pub(crate) reports: Reports,
     /// Clients of other processes' RPC ports.
     pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
@@ -68,12 +71,15 @@
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
         };
+        let kernel = Kernel::new(&process, settings.place.node.clone());
+        let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
         let gate = Arc::new(Self {
-            kernel: Kernel::new(&process, settings.place.node.clone()),
+            kernel,
             settings,
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            reports,
             rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
             served: watch::Sender::new(false),
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -1,17 +1,24 @@
-//! The gate's link to a controller: subscribes to the routing table and reconnects.
+//! The gate's link to a controller: subscribes to the routing table, reports, reconnects.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use jsonrpsee::core::client::Subscription;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::ws_client::WsClient;
+use rand::seq::SliceRandom;
 use thiserror::Error;
 use tokio::time::error::Elapsed;
 
+use crate::Fact;
 use crate::Gate;
+use crate::GateFact;
 use crate::GateHello;
 use crate::GatePlugin;
+use crate::GateReport;
 use crate::MemberState;
+use crate::Offset;
 use crate::Result;
 use crate::RoutingTable;
 use crate::Stage;
@@ -30,6 +37,15 @@
     Silent(#[from] Elapsed),
 }
 
+/// How a link ended without a failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LinkEnd {
+    /// The controller ended the subscription.
+    Closed,
+    /// The controller of the gate's own VM is back.
+    OwnIsBack,
+}
+
 /// Silence after which the link is given up; the controller sends a heartbeat each second.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
 
@@ -37,7 +53,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause before the next controller is tried.
-const LINK_PAUSE: Duration = Duration::from_millis(100);
+const LINK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between two attempts at reaching the controller of the gate's own VM.
+const RETURN_INTERVAL: Duration = Duration::from_secs(1);
 
 inventory::submit! {
     GatePlugin {
@@ -52,69 +74,127 @@
 fn start(gate: &Arc<Gate>) -> Result<()> {
     let link = Arc::clone(gate);
     gate.kernel.spawn(async move { keep_link(&link).await });
+    let stopping = Arc::clone(gate);
+    gate.kernel.spawn(async move {
+        stopping.kernel.stopping.cancelled().await;
+        stopping.reports.notify();
+    });
     Ok(())
 }
 
+/// Follows the first controller that can be reached, in the order of the candidates, and
+/// starts over with the gate's own once a link has ended.
 async fn keep_link(gate: &Gate) {
     loop {
         for controller in candidates(gate) {
-            if let Err(error) = follow(gate, controller).await {
-                tracing::warn!(%error, %controller, "link to the controller ended");
-            }
+            let linked = match follow(gate, controller).await {
+                Ok(end) => {
+                    tracing::info!(?end, %controller, "link to the controller ended");
+                    true
+                }
+                Err((error, linked)) => {
+                    tracing::warn!(%error, %controller, "link to the controller failed");
+                    linked
+                }
+            };
             tokio::time::sleep(LINK_PAUSE).await;
+            if linked {
+                break;
+            }
         }
     }
 }
 
-/// Returns the controllers to try: those of the settings, then those that the table names.
+/// Returns the controllers to try: the gate's own, then live ones, then those of the settings.
 fn candidates(gate: &Gate) -> Vec<SocketAddr> {
-    let mut controllers = gate.settings.controllers.clone();
-    if let Some(table) = gate.table() {
-        let others = table
-            .live
-            .members
-            .values()
-            .filter(|m| m.state == MemberState::Alive)
-            .map(|m| m.controller);
-        for other in others {
-            if !controllers.contains(&other) {
-                controllers.push(other);
-            }
+    let settings = &gate.settings.controllers;
+    let mut others: Vec<SocketAddr> = gate.table().map_or_else(Vec::new, |table| {
+        let live = table.live.members.values();
+        live.filter(|m| m.state == MemberState::Alive)
+            .map(|m| m.controller)
+            .collect()
+    });
+    others.shuffle(&mut rand::rng());
+    let rest = settings.iter().skip(1).copied();
+    let mut controllers: Vec<SocketAddr> = settings.first().copied().into_iter().collect();
+    for other in others.into_iter().chain(rest) {
+        if !controllers.contains(&other) {
+            controllers.push(other);
         }
     }
     controllers
 }
 
-async fn follow(gate: &Gate, controller: SocketAddr) -> Result<(), LinkError> {
-    let client = gate.rpc.websocket(controller, CONNECT_TIMEOUT).await?;
-    let hello = GateHello {
-        node: gate.kernel.node.clone(),
-        info: gate.info(),
-    };
-    let mut updates = client.table(hello).await?;
+/// Follows a controller until the link ends; an error tells whether the link was up.
+async fn follow(gate: &Gate, controller: SocketAddr) -> Result<LinkEnd, (LinkError, bool)> {
+    let (client, mut updates) = open(gate, controller).await.map_err(|e| (e, false))?;
     gate.kernel
         .events
         .record("link.up", &[("controller", &controller)]);
-    while let Some(update) = next_update(&mut updates).await? {
-        install(gate, update);
+    let is_own = gate.settings.controllers.first() == Some(&controller);
+    let ended = tokio::select! {
+        ended = install_updates(gate, &mut updates) => ended,
+        error = send_reports(gate, &client) => Err(error),
+        () = own_is_back(gate), if !is_own => Ok(LinkEnd::OwnIsBack),
+    };
+    gate.kernel
+        .events
+        .record("link.down", &[("controller", &controller)]);
+    ended.map_err(|error| (error, true))
+}
+
+async fn open(
+    gate: &Gate,
+    controller: SocketAddr,
+) -> Result<(WsClient, Subscription<TableUpdate>), LinkError> {
+    let connect = gate.rpc.websocket(controller, CONNECT_TIMEOUT);
+    let client = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
+    gate.reports.start_over();
+    let hello = GateHello {
+        gate: statement(gate),
+        time: gate.kernel.events.time(),
+    };
+    let updates = tokio::time::timeout(CONNECT_TIMEOUT, client.table(hello)).await??;
+    Ok((client, updates))
+}
+
+/// Describes the gate to its controller.
+fn statement(gate: &Gate) -> GateFact {
+    let place = &gate.settings.place;
+    let info = gate.info();
+    gate.reports.told(info.clone());
+    GateFact {
+        node: place.node.clone(),
+        stamp: gate.reports.next_stamp(),
+        host: place.node.clone(),
+        at: gate.kernel.clock.now(),
+        info: Some(info),
+        domain: place.domain.clone(),
+        region: place.region.clone(),
+        vm: place.vm.clone(),
     }
-    Ok(())
 }
 
-async fn next_update(
+async fn install_updates(
+    gate: &Gate,
     updates: &mut Subscription<TableUpdate>,
-) -> Result<Option<TableUpdate>, LinkError> {
+) -> Result<LinkEnd, LinkError> {
     debug_assert!(SILENCE_LIMIT > TABLE_HEARTBEAT);
-    let update = tokio::time::timeout(SILENCE_LIMIT, updates.next()).await?;
-    Ok(update.transpose()?)
+    loop {
+        let update = tokio::time::timeout(SILENCE_LIMIT, updates.next()).await?;
+        let Some(update) = update.transpose()? else {
+            return Ok(LinkEnd::Closed);
+        };
+        install(gate, update);
+    }
 }
 
 fn install(gate: &Gate, update: TableUpdate) {
-    let offset = update.offset;
     let current = gate.table();
     let Some(table) = RoutingTable::next(current.as_deref(), update) else {
         return;
     };
+    let offset = table.config.next;
     if current.is_none_or(|c| c.config.next != offset) {
         gate.kernel
             .events
@@ -122,3 +202,45 @@
     }
     gate.table.send_replace(Some(Arc::new(table)));
 }
+
+/// Reports what is new, at intervals or at once where it matters, until a report fails.
+async fn send_reports(gate: &Gate, client: &WsClient) -> LinkError {
+    loop {
+        let mut facts = gate.reports.take(gate.kernel.clock.now());
+        if gate.reports.is_news(&gate.info()) {
+            facts.push(Fact::Gate(statement(gate)));
+        }
+        if !facts.is_empty() {
+            let report = GateReport {
+                facts,
+                time: gate.kernel.events.time(),
+            };
+            match tokio::time::timeout(SILENCE_LIMIT, client.report(report)).await {
+                Ok(Ok(time)) => gate.kernel.events.observe(time),
+                Ok(Err(error)) => return error.into(),
+                Err(elapsed) => return elapsed.into(),
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(REPORT_INTERVAL) => {}
+            () = gate.reports.urgent() => {}
+        }
+    }
+}
+
+/// Waits until the controller of the gate's own VM answers with a configuration that is not
+/// older than the one in force.
+async fn own_is_back(gate: &Gate) {
+    let Some(own) = gate.settings.controllers.first().copied() else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::time::sleep(RETURN_INTERVAL).await;
+        let in_force = gate.table().map_or(Offset(0), |table| table.config.next);
+        let ask = async |client: HttpClient| client.offset().await;
+        let offset = gate.rpc.call(own, CONNECT_TIMEOUT, ask).await;
+        if matches!(offset, Ok(Some(offset)) if offset >= in_force) {
+            return;
+        }
+    }
+}
--- a/lib/src/routing_table.rs
+++ b/lib/src/routing_table.rs
@@ -30,17 +30,17 @@
 impl RoutingTable {
     /// Builds the table that follows `previous` after an update.
     ///
-    /// Returns `None` when the update is older than the table in force, or when it holds no
-    /// configuration and none is in force.
+    /// An update whose configuration is older than the one in force changes the live facts
+    /// only. Returns `None` when the update holds no configuration and none is in force.
     pub fn next(previous: Option<&Self>, update: TableUpdate) -> Option<Self> {
         let in_force = previous.map_or(Offset(0), |p| p.config.next);
-        if update.offset < in_force {
-            return None;
-        }
-        match (update.config, previous) {
-            (Some(config), _) => Some(Self::index(config, update.live)),
+        let mut live = previous.map_or_else(LiveView::default, |p| p.live.clone());
+        live.apply(update.live);
+        let config = update.config.filter(|_| update.offset >= in_force);
+        match (config, previous) {
+            (Some(config), _) => Some(Self::index(config, live)),
             (None, Some(previous)) => Some(Self {
-                live: update.live,
+                live,
                 ..previous.clone()
             }),
             (None, None) => None,
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -9,6 +9,7 @@
 
 use crate::ConfigState;
 use crate::DomainName;
+use crate::LiveDelta;
 use crate::MoveName;
 use crate::NodeName;
 use crate::Offset;
@@ -33,7 +34,7 @@
 }
 
 /// Addresses of a gate.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct GateInfo {
     /// Address for callers.
     pub callers: SocketAddr,
@@ -136,6 +137,6 @@
     pub offset: Offset,
     /// Configuration, when it changed since the previous message of this subscription.
     pub config: Option<Arc<ConfigState>>,
-    /// Facts that change without the log.
-    pub live: LiveView,
+    /// What changed of the facts that change without the log.
+    pub live: LiveDelta,
 }
