--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -25,9 +25,13 @@
 use crate::Timestamp;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
+use crate::gossip_rpc::announce_leave;
 use crate::live_store::LiveStore;
 use crate::rpc_server::serve_rpc;
 
+/// Time for which a stop waits until peers have heard of it.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
@@ -126,8 +130,11 @@
         self.live.subscribe()
     }
 
-    /// Stops the controller.
+    /// Stops the controller gracefully: tells its peers, then ends.
     pub async fn stop(&self) {
+        self.kernel.stopping.cancel();
+        let announced = announce_leave(self);
+        let _ = tokio::time::timeout(ANNOUNCE_LIMIT, announced).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
