--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -23,10 +23,12 @@
 use crate::RpcClients;
 use crate::SharedKey;
 use crate::Timestamp;
+use crate::claim_tail::ClaimStore;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::gossip_rpc::announce_leave;
 use crate::live_store::LiveStore;
+use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
 /// Time for which a stop waits until peers have heard of it.
@@ -42,6 +44,7 @@
     pub kernel: Arc<Kernel>,
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
+    pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
     pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
@@ -94,6 +97,7 @@
             kernel,
             settings,
             addrs,
+            claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
             contact: Contact::new(),
             live,
@@ -102,6 +106,7 @@
         });
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
+        serve_operators(&controller, operators);
         Ok(controller)
     }
 
