--- a/lib/src/fact.rs
+++ b/lib/src/fact.rs
@@ -23,16 +23,16 @@
 use crate::WINDOW_MS;
 
 /// Time for which an evidence window is kept.
-pub const EVIDENCE_KEPT: Duration = Duration::from_secs(60);
+pub const EVIDENCE_KEPT: Duration = Duration::from_mins(1);
 
 /// Time for which a crash of an endpoint is held against the request.
-pub const CRASH_KEPT: Duration = Duration::from_secs(600);
+pub const CRASH_KEPT: Duration = Duration::from_mins(10);
 
 /// Time for which dead members and detached gates are remembered.
-pub const GONE_KEPT: Duration = Duration::from_secs(600);
+pub const GONE_KEPT: Duration = Duration::from_mins(10);
 
 /// Time for which a machine is remembered after its notice has ended.
-pub const LEAVING_KEPT: Duration = Duration::from_secs(24 * 3600);
+pub const LEAVING_KEPT: Duration = Duration::from_hours(24);
 
 /// Position in what one process says: a later start goes before a higher number.
 #[derive(
