--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -16,19 +16,24 @@
 use crate::HttpLog;
 use crate::Kernel;
 use crate::LiveView;
-use crate::Member;
+use crate::MemberFact;
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
 use crate::RpcClients;
 use crate::SharedKey;
+use crate::Timestamp;
 use crate::claim_tail::ClaimStore;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
+use crate::gossip_rpc::announce_leave;
 use crate::live_store::LiveStore;
 use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
+/// Time for which a stop waits until peers have heard of it.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
@@ -85,18 +90,20 @@
             rpc: bound(&rpc)?,
             operators: bound(&operators)?,
         };
+        let kernel = Kernel::new(&process, settings.place.node.clone());
+        let own = own_member(&settings, addrs, kernel.clock.now());
+        let live = LiveStore::new(own, kernel.clock, kernel.events.clone());
         let controller = Arc::new(Self {
-            kernel: Kernel::new(&process, settings.place.node.clone()),
+            kernel,
             settings,
             addrs,
             claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
             contact: Contact::new(),
-            live: LiveStore::new(),
+            live,
             log,
             rpc: RpcClients::new(key.clone()),
         });
-        controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
         serve_operators(&controller, operators);
@@ -128,8 +135,11 @@
         self.live.subscribe()
     }
 
-    /// Stops the controller.
+    /// Stops the controller gracefully: tells its peers, then ends.
     pub async fn stop(&self) {
+        self.kernel.stopping.cancel();
+        let announced = announce_leave(self);
+        let _ = tokio::time::timeout(ANNOUNCE_LIMIT, announced).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
@@ -138,18 +148,6 @@
         self.settings.advertise.unwrap_or(self.addrs.rpc)
     }
 
-    fn own_member(&self) -> Member {
-        let place = &self.settings.place;
-        Member {
-            node: place.node.clone(),
-            domain: place.domain.clone(),
-            region: place.region.clone(),
-            controller: self.advertised(),
-            gate: None,
-            state: MemberState::Alive,
-        }
-    }
-
     fn start_plugins(self: &Arc<Self>) -> Result<()> {
         for plugin in plugins() {
             (plugin.start)(self)?;
@@ -169,6 +167,21 @@
     }
 }
 
+/// Describes this node as a member that has just started.
+fn own_member(settings: &ControllerSettings, addrs: ControllerAddrs, now: Timestamp) -> MemberFact {
+    let place = &settings.place;
+    MemberFact {
+        node: place.node.clone(),
+        incarnation: now.0,
+        state: MemberState::Alive,
+        since: now,
+        domain: place.domain.clone(),
+        region: place.region.clone(),
+        vm: place.vm.clone(),
+        controller: settings.advertise.unwrap_or(addrs.rpc),
+    }
+}
+
 fn plugins() -> Vec<&'static ControllerPlugin> {
     let mut plugins: Vec<_> = inventory::iter::<ControllerPlugin>.into_iter().collect();
     plugins.sort_by_key(|p| (p.stage, p.name));
