gate: relay model streams across failures, resume tokens and hand-over

Streams are parsed event by event, checked for position and identity, and picked up again on a new connection, moved with their cache or continued elsewhere. Plain calls get a retry budget, backoff and deadlines; crashes and evidence are recorded. Not yet proved by tests.

--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at running a request on an endpoint.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,29 +8,39 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 
 use crate::ATTEMPT_HEADER;
 use crate::AttemptId;
 use crate::Endpoint;
 use crate::HttpClient;
 use crate::Lent;
+use crate::PRIORITY_HEADER;
+use crate::Priority;
+use crate::RESUME_HEADER;
 use crate::Reuse;
 use crate::SendError;
 use crate::call::Call;
 
-/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
-const HOP_HEADERS: [&str; 10] = [
+/// Headers that are not passed on: those of one connection (RFC 9110, section 7.6.1), and those
+/// that the gate answers itself.
+const HOP_HEADERS: [&str; 14] = [
+    "accept-encoding",
     "authorization",
     "connection",
     "content-length",
     "expect",
     "host",
     "keep-alive",
+    "last-event-id",
+    "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
     "upgrade",
+    RESUME_HEADER,
 ];
 
 /// Why an attempt failed.
@@ -45,6 +56,8 @@
     Silent,
     /// the answer ended early: {0}
     Truncated(String),
+    /// the endpoint answered with status {0}
+    Status(u16),
 }
 
 impl AttemptError {
@@ -74,14 +87,33 @@
     reuse: Reuse,
     progress: Duration,
 ) -> Result<Answer, AttemptError> {
-    let request = endpoint_request(endpoint, call, attempt);
-    let sent = tokio::time::timeout(progress, http.send(endpoint.address, request, reuse));
+    let request = endpoint_request(endpoint, call, call.body.clone(), attempt);
+    send(http, endpoint.address, request, attempt, reuse, progress).await
+}
+
+/// Sends a request to an endpoint and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns an [`AttemptError`] that tells whether the endpoint may have run the request.
+pub(crate) async fn send(
+    http: &HttpClient,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    attempt: AttemptId,
+    reuse: Reuse,
+    limit: Duration,
+) -> Result<Answer, AttemptError> {
+    let sent = tokio::time::timeout(limit, http.send(address, request, reuse));
     let (response, lent) = match sent.await {
         Err(_) => return Err(AttemptError::Silent),
         Ok(Err(error)) if error.is_unsent() => return Err(AttemptError::Unsent(error)),
         Ok(Err(error)) => return Err(AttemptError::MaybeSent(error)),
         Ok(Ok(answer)) => answer,
     };
+    if is_busy(&response) {
+        return Err(AttemptError::Status(response.status().as_u16()));
+    }
     if !carries(&response, attempt) {
         return Err(AttemptError::Crossed);
     }
@@ -119,6 +151,13 @@
     Ok((parts, Bytes::from(bytes)))
 }
 
+/// Tells whether an endpoint refused for want of capacity; it need not read the request first.
+fn is_busy(response: &Response<Incoming>) -> bool {
+    let status = response.status();
+    let busy = status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+    busy && !response.headers().contains_key(ATTEMPT_HEADER)
+}
+
 fn carries(response: &Response<Incoming>, attempt: AttemptId) -> bool {
     response
         .headers()
@@ -127,8 +166,14 @@
         .is_some_and(|v| v == attempt.to_string())
 }
 
-fn endpoint_request(endpoint: &Endpoint, call: &Call, attempt: AttemptId) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+/// Builds the request that an endpoint gets for a call.
+pub(crate) fn endpoint_request(
+    endpoint: &Endpoint,
+    call: &Call,
+    body: Bytes,
+    attempt: AttemptId,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = call.method.clone();
     let path = format!("/{}", call.path);
     if let Ok(uri) = path.parse() {
@@ -146,5 +191,10 @@
     if let Ok(id) = attempt.to_string().parse() {
         headers.insert(ATTEMPT_HEADER, id);
     }
+    let priority = match call.route.priority {
+        Priority::Interactive => "interactive",
+        Priority::Deferred => "deferred",
+    };
+    headers.insert(PRIORITY_HEADER, HeaderValue::from_static(priority));
     request
 }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -57,6 +57,18 @@
         self.route.repeatable || self.method == Method::GET || self.method == Method::HEAD
     }
 
+    /// Returns a digest of the request and its customer.
+    pub(crate) fn digest(&self) -> u64 {
+        let head = format!(
+            "{}\n{}\n{}\n{}\n",
+            self.customer, self.service.name, self.method, self.path
+        );
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(head.as_bytes());
+        hasher.update(&self.body);
+        hasher.digest()
+    }
+
     /// Returns the caller's idempotency key.
     ///
     /// # Errors
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::Methods;
-use jsonrpsee::server::ServerBuilder;
-use jsonrpsee::server::ServerHandle;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -24,6 +21,7 @@
 use crate::Result;
 use crate::config_store::ConfigStore;
 use crate::live_store::LiveStore;
+use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
@@ -86,7 +84,9 @@
         });
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
-        controller.serve_rpc(rpc)?;
+        let methods = plugins().into_iter().filter_map(|p| p.methods);
+        let methods = methods.map(|make| make(&controller));
+        serve_rpc(methods, rpc, controller.kernel.stopped.clone())?;
         Ok(controller)
     }
 
@@ -144,26 +144,6 @@
         }
         Ok(())
     }
-
-    fn serve_rpc(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
-        let mut methods = Methods::new();
-        for plugin in plugins() {
-            if let Some(make) = plugin.methods {
-                methods.merge(make(self)).map_err(internal)?;
-            }
-        }
-        let std = listener.into_std().map_err(internal)?;
-        let server = ServerBuilder::default()
-            .build_from_tcp(std)
-            .map_err(internal)?;
-        let handle: ServerHandle = server.start(methods);
-        let stopped = self.kernel.stopped.clone();
-        tokio::spawn(async move {
-            stopped.cancelled().await;
-            let _ = handle.stop();
-        });
-        Ok(())
-    }
 }
 
 fn plugins() -> Vec<&'static ControllerPlugin> {
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -7,23 +7,38 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::Endpoint;
+use crate::EvidenceRecorder;
+use crate::EvidenceRow;
+use crate::GateCounts;
 use crate::GateInfo;
 use crate::GatePlugin;
 use crate::GateSettings;
 use crate::HttpClient;
 use crate::Kernel;
 use crate::Result;
+use crate::RetryBudget;
+use crate::Secret;
 use crate::ServerLimits;
+use crate::Timestamp;
 use crate::controller::bind;
 use crate::controller::bound;
+use crate::counters::GateCounters;
+use crate::crash::Crashes;
 use crate::gate_http;
+use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
+use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
+use crate::rpc_server::serve_rpc;
 use crate::serve;
 
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time kept at the end of the drain limit for handing requests over.
+const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+
 /// State of a gate; shared by its subsystems.
 #[derive(Debug)]
 pub struct Gate {
@@ -34,6 +49,17 @@
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
+    pub(crate) secret: Secret,
+    pub(crate) budget: RetryBudget,
+    pub(crate) counters: GateCounters,
+    pub(crate) crashes: Crashes,
+    pub(crate) evidence: EvidenceRecorder,
+    pub(crate) handed: HandedStates,
+    pub(crate) transfers: TransferCosts,
+    /// Time at which the gate's own machine ends, once it is under notice.
+    pub(crate) notice: watch::Sender<Option<Timestamp>>,
+    draining: watch::Sender<bool>,
+    changes: watch::Sender<u64>,
     served: watch::Sender<bool>,
 }
 
@@ -60,18 +86,33 @@
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
         };
+        let secret = Secret::load(&settings.secret_file)?;
+        let kernel = Kernel::new(&process, settings.place.node.clone());
         let gate = Arc::new(Self {
-            kernel: Kernel::new(&process, settings.place.node.clone()),
+            evidence: EvidenceRecorder::new(kernel.clock),
+            kernel,
             settings,
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
             table: watch::Sender::new(None),
+            secret,
+            budget: RetryBudget::default(),
+            counters: GateCounters::default(),
+            crashes: Crashes::default(),
+            handed: HandedStates::default(),
+            transfers: TransferCosts::default(),
+            notice: watch::Sender::new(None),
+            draining: watch::Sender::new(false),
+            changes: watch::Sender::new(0),
             served: watch::Sender::new(false),
         });
         for plugin in plugins() {
             (plugin.start)(&gate)?;
         }
+        let methods = plugins().into_iter().filter_map(|p| p.methods);
+        let methods = methods.map(|make| make(&gate));
+        serve_rpc(methods, rpc, gate.kernel.stopped.clone())?;
         gate.serve_callers(callers);
         Ok(gate)
     }
@@ -91,9 +132,43 @@
         self.table.subscribe()
     }
 
-    /// Stops the gate gracefully: refuses new requests and finishes those in progress.
+    /// Returns the readings of the counters.
+    pub fn counts(&self) -> GateCounts {
+        self.counters.read()
+    }
+
+    /// Returns the digests of requests that crashed an endpoint since the last call.
+    pub fn take_crashes(&self) -> Vec<u64> {
+        self.crashes.take_reports()
+    }
+
+    /// Returns how requests went since the last call.
+    pub fn take_evidence(&self) -> Vec<EvidenceRow> {
+        self.evidence.take_rows()
+    }
+
+    /// Returns a receiver that changes whenever what the gate says of itself has changed.
+    pub fn subscribe_changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Stops the gate gracefully.
+    ///
+    /// Tells its controller, serves for a while the callers that have not heard of it, then
+    /// takes no new connection and finishes the requests in progress. Those that would not be
+    /// finished within the drain limit are handed over to other gates.
     pub async fn stop(&self) {
+        self.draining.send_replace(true);
+        self.touch();
+        tokio::time::sleep(self.settings.limits.linger).await;
         self.kernel.stopping.cancel();
+        let drain = self.settings.limits.drain;
+        let last = drain.saturating_sub(HAND_OVER_TIME);
+        let mut served = self.served.subscribe();
+        let done = tokio::time::timeout(last, served.wait_for(|done| *done)).await;
+        if done.is_err() {
+            self.leave(self.kernel.clock.now());
+        }
         let mut served = self.served.subscribe();
         let _ = served.wait_for(|done| *done).await;
         self.kernel.stop(STOP_LIMIT).await;
@@ -104,11 +179,35 @@
         GateInfo {
             callers: self.settings.advertise.unwrap_or(self.addrs.callers),
             rpc: self.settings.rpc_advertise.unwrap_or(self.addrs.rpc),
-            accepting: !self.kernel.stopping.is_cancelled(),
+            accepting: !self.is_draining() && self.notice.borrow().is_none(),
             load: self.in_flight.load(self.settings.limits.requests),
         }
     }
 
+    /// Takes no new requests from now on, and hands those in progress over.
+    pub(crate) fn leave(&self, deadline: Timestamp) {
+        self.kernel
+            .events
+            .record("gate.leaving", &[("deadline", &deadline.0)]);
+        self.notice.send_replace(Some(deadline));
+        self.touch();
+    }
+
+    /// Tells whether the gate is being stopped.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Returns the time at which an endpoint's machine ends, if it is under notice.
+    pub(crate) fn leaving(&self, endpoint: &Endpoint) -> Option<Timestamp> {
+        let table = self.table.borrow();
+        table.as_ref()?.live.leaving.get(&endpoint.vm).copied()
+    }
+
+    fn touch(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     fn serve_callers(self: &Arc<Self>, listener: TcpListener) {
         let limits = self.settings.limits;
         let limits = ServerLimits {
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -5,7 +5,10 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -15,6 +18,8 @@
 use crate::RoutingTable;
 use crate::call;
 use crate::entries::entry_answer;
+use crate::hand_over;
+use crate::model_call;
 use crate::problem::problem;
 use crate::rank_entries;
 use crate::run;
@@ -24,10 +29,16 @@
 
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
-    match try_answer(gate, request).await {
+    let version = request.version();
+    let mut response = match try_answer(Arc::clone(&gate), request).await {
         Ok(response) => response,
         Err(error) => problem(&error),
+    };
+    if version <= Version::HTTP_11 && !gate.info().accepting {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
 
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
@@ -37,10 +48,37 @@
     if request.uri().path() == ENTRIES_PATH {
         return list_entries(&table, &request);
     }
+    if let Some(response) = leave(&gate, &table, &request)? {
+        return Ok(response);
+    }
     let call = call::receive(&table, gate.settings.limits, request).await?;
+    if model_call::is_completion(&call) {
+        return model_call::run(&gate, call).await;
+    }
     run::run(&gate, call).await
 }
 
+/// Sends a caller to another gate when this one's machine is under notice.
+fn leave(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+) -> Result<Option<Response<ReplyBody>>> {
+    if gate.notice.borrow().is_none() {
+        return Ok(None);
+    }
+    let customer = call::customer(table, request.headers())?;
+    let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
+    let response = hand_over::redirect(gate, table, &customer, path);
+    let refusal = || {
+        Error::new(
+            ErrorKind::Leaving,
+            "this machine ends and no other takes over",
+        )
+    };
+    response.map(Some).ok_or_else(refusal)
+}
+
 fn list_entries(table: &RoutingTable, request: &Request<Incoming>) -> Result<Response<ReplyBody>> {
     if request.method() != Method::GET {
         return Err(Error::new(
--- a/lib/src/problem.rs
+++ b/lib/src/problem.rs
@@ -14,7 +14,7 @@
 
 /// A problem document.
 #[derive(Debug, Serialize)]
-struct Problem<'a> {
+pub(crate) struct Problem<'a> {
     #[serde(rename = "type")]
     kind: String,
     title: String,
@@ -25,17 +25,22 @@
     retry_after: Option<u32>,
 }
 
-/// Returns the answer for an error.
-pub(crate) fn problem(error: &Error) -> Response<ReplyBody> {
-    let answer = error.kind.answer();
-    let document = Problem {
+/// Returns the problem document for an error.
+pub(crate) fn document(error: &Error) -> Problem<'_> {
+    Problem {
         kind: format!("{TYPE_PREFIX}{}", error.kind.name()),
         title: error.kind.to_string(),
-        status: answer.status,
+        status: error.kind.answer().status,
         detail: &error.detail,
         outcome: error.outcome(),
         retry_after: error.retry_after(),
-    };
+    }
+}
+
+/// Returns the answer for an error.
+pub(crate) fn problem(error: &Error) -> Response<ReplyBody> {
+    let answer = error.kind.answer();
+    let document = document(error);
     let body = serde_json::to_vec(&document).unwrap_or_default();
     let mut response = Response::new(full_body(body));
     *response.status_mut() = hyper::StatusCode::from_u16(answer.status)
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -5,11 +5,16 @@
 use crate::Endpoint;
 use crate::EndpointName;
 use crate::FULL_SHARE;
+use crate::Gate;
 use crate::RoutingTable;
 use crate::Service;
 use crate::VersionName;
+use crate::call::Call;
 use crate::in_flight::InFlight;
 
+/// Header by which a caller names the conversation that a request belongs to.
+const CONVERSATION_HEADER: &str = "x-conversation-id";
+
 /// Chooses a version by the shares in force.
 ///
 /// `point` is the request's place on the scale of shares, below [`FULL_SHARE`].
@@ -24,6 +29,55 @@
     None
 }
 
+/// Chooses an endpoint for a call: of the wanted version while it has one, else by the shares.
+///
+/// A version without a usable endpoint gives way to the others that have a share.
+pub(crate) fn choose(
+    gate: &Gate,
+    table: &RoutingTable,
+    call: &Call,
+    wanted: Option<&VersionName>,
+    excluded: &[EndpointName],
+) -> Option<Endpoint> {
+    let service = &table.config.services.get(&call.service.name)?.value;
+    let drawn = choose_version(service, point_of(call));
+    let others = service.versions.iter().filter(|(_, v)| v.share > 0);
+    let order = wanted
+        .into_iter()
+        .chain(drawn)
+        .chain(others.map(|(n, _)| n));
+    let is_suspect = gate.crashes.is_suspect(call.digest());
+    order
+        .map(|version| usable(table, service, version, excluded))
+        .find_map(|endpoints| {
+            let load = &gate.in_flight;
+            if is_suspect {
+                least_loaded(&endpoints, load).cloned()
+            } else {
+                two_choices(&endpoints, load).cloned()
+            }
+        })
+}
+
+/// Chooses the least loaded endpoint, so that requests under suspicion of crashing endpoints
+/// keep apart from others.
+fn least_loaded<'a>(usable: &[&'a Endpoint], load: &InFlight) -> Option<&'a Endpoint> {
+    usable.iter().min_by_key(|e| load.on(&e.name)).copied()
+}
+
+/// Returns a call's place on the scale of shares, the same for all calls of a conversation.
+fn point_of(call: &Call) -> u32 {
+    match call.headers.get(CONVERSATION_HEADER) {
+        None => random_point(),
+        Some(value) => {
+            let mut key = format!("{}/", call.customer).into_bytes();
+            key.extend_from_slice(value.as_bytes());
+            let hash = xxhash_rust::xxh3::xxh3_64(&key);
+            (hash % u64::from(FULL_SHARE)) as u32
+        }
+    }
+}
+
 /// Returns the endpoints of a version that take new work.
 pub(crate) fn usable<'a>(
     table: &'a RoutingTable,
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -1,36 +1,35 @@
-//! Runs a caller's request: chooses an endpoint, dispatches, retries and passes the answer on.
+//! Runs a plain call: chooses an endpoint, dispatches, retries and passes the answer on.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use futures_util::StreamExt;
-use futures_util::stream;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
+use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::Response;
-use hyper::body::Frame;
+use hyper::http::response::Parts;
+use tokio::time::Instant;
 
 use crate::AttemptId;
-use crate::BodyError;
+use crate::Endpoint;
 use crate::EndpointName;
 use crate::Error;
 use crate::ErrorKind;
 use crate::Gate;
+use crate::Outcome;
 use crate::ReplyBody;
 use crate::Result;
 use crate::Reuse;
+use crate::SampleOutcome;
 use crate::attempt;
-use crate::attempt::Answer;
 use crate::attempt::AttemptError;
 use crate::call::Call;
+use crate::counters::Count;
 use crate::full_body;
-use crate::in_flight::InFlightGuard;
+use crate::retry;
 use crate::router;
 
-/// Attempts at one request.
-const MAX_ATTEMPTS: usize = 3;
-
-/// Media type of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
+/// Attempts at one call.
+const MAX_ATTEMPTS: u32 = 3;
 
 /// Runs a call and returns its answer.
 ///
@@ -38,99 +37,161 @@
 ///
 /// Fails with the kind that tells what is known of the call's effect.
 pub(crate) async fn run(gate: &Arc<Gate>, call: Call) -> Result<Response<ReplyBody>> {
+    gate.budget.earn(&call.service.name);
     let mut tried: Vec<EndpointName> = Vec::new();
     let mut last = Error::new(ErrorKind::NoEndpoint, "no endpoint takes new work");
-    let point = router::random_point();
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(endpoint) = choose(gate, &call, point, &tried) else {
-            break;
-        };
-        let guard = gate.in_flight.enter(&endpoint.name);
-        let attempt = AttemptId::random();
-        let reuse = if tried.is_empty() {
-            Reuse::Idle
-        } else {
-            Reuse::Never
+    let mut failures = 0;
+    loop {
+        check_crashes(gate, &call)?;
+        let Some(endpoint) = choose(gate, &call, &tried) else {
+            return Err(last);
         };
-        gate.kernel.events.record(
-            "request.dispatched",
-            &[
-                ("request", &call.id),
-                ("attempt", &attempt),
-                ("endpoint", &endpoint.name),
-                ("version", &endpoint.version),
-            ],
-        );
-        let progress = gate.settings.limits.progress;
-        let sent = attempt::dispatch(&gate.http, &endpoint, &call, attempt, reuse, progress).await;
-        let failed = match sent {
-            Ok(answer) => match pass_on(gate, answer, guard).await {
-                Ok(response) => return Ok(response),
-                Err(error) => error,
-            },
+        let attempt = attempt_once(gate, &call, &endpoint, failures);
+        let answered = tokio::time::timeout_at(call.deadline, attempt).await;
+        let failed = match answered.unwrap_or(Err(AttemptError::Silent)) {
+            Ok((parts, bytes)) => return Ok(whole_reply(&parts, bytes)),
             Err(error) => error,
         };
         tracing::debug!(error = %failed, endpoint = %endpoint.name, "attempt failed");
-        if !failed.is_unsent() && !call.is_repeatable() {
-            return Err(Error::new(ErrorKind::OutcomeUnknown, failed.to_string()));
-        }
-        last = Error::new(ErrorKind::EndpointFailed, failed.to_string());
+        blame(gate, &call, &endpoint, &failed).await;
+        last = failure(&call, &failed, last.outcome() != Outcome::NotRun);
+        failures += 1;
         tried.push(endpoint.name);
+        let may_retry = failed.is_unsent() || call.is_repeatable();
+        if !may_retry || failures >= MAX_ATTEMPTS || !gate.budget.spend(&call.service.name) {
+            check_crashes(gate, &call)?;
+            return Err(last);
+        }
+        let pause = retry::backoff(failures);
+        if Instant::now() + pause >= call.deadline {
+            return Err(last);
+        }
+        tokio::time::sleep(pause).await;
+        gate.counters.add(Count::Retries, 1);
     }
-    Err(last)
 }
 
-fn choose(gate: &Gate, call: &Call, point: u32, tried: &[EndpointName]) -> Option<crate::Endpoint> {
+fn check_crashes(gate: &Gate, call: &Call) -> Result<()> {
+    let table = gate.table();
+    gate.crashes
+        .check(call.digest(), table.as_ref().map(|t| &t.live))
+}
+
+fn choose(gate: &Gate, call: &Call, tried: &[EndpointName]) -> Option<Endpoint> {
     let table = gate.table()?;
-    let version = router::choose_version(&call.service, point)?;
-    let usable = router::usable(&table, &call.service, version, tried);
-    router::two_choices(&usable, &gate.in_flight).cloned()
+    router::choose(gate, &table, call, None, tried)
+}
+
+async fn attempt_once(
+    gate: &Gate,
+    call: &Call,
+    endpoint: &Endpoint,
+    failures: u32,
+) -> Result<(Parts, Bytes), AttemptError> {
+    let _guard = gate.in_flight.enter(&endpoint.name);
+    let attempt = AttemptId::random();
+    let reuse = match failures {
+        0 => Reuse::Idle,
+        _ => Reuse::Never,
+    };
+    gate.kernel.events.record(
+        "request.dispatched",
+        &[
+            ("request", &call.id),
+            ("attempt", &attempt),
+            ("endpoint", &endpoint.name),
+            ("version", &endpoint.version),
+        ],
+    );
+    let started = Instant::now();
+    let limit = patience(gate, call);
+    let answer = attempt::dispatch(&gate.http, endpoint, call, attempt, reuse, limit).await?;
+    let first_byte = started.elapsed();
+    let progress = limit.min(gate.settings.limits.progress);
+    let answer = attempt::read_whole(&gate.http, answer, progress).await?;
+    let outcome = if answer.0.status.is_server_error() {
+        SampleOutcome::Failed
+    } else {
+        SampleOutcome::Ok
+    };
+    judge(gate, call, endpoint, outcome, first_byte);
+    Ok(answer)
 }
 
-/// Passes an endpoint's answer on: event streams as they come, other answers once whole.
-async fn pass_on(
-    gate: &Arc<Gate>,
-    answer: Answer,
-    guard: InFlightGuard,
-) -> Result<Response<ReplyBody>, AttemptError> {
-    let is_stream = answer
-        .response
-        .headers()
-        .get("content-type")
-        .is_some_and(|v| v.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
-    if is_stream {
-        return Ok(stream_on(answer, guard));
+/// Returns the time within which an endpoint must begin its answer.
+///
+/// An attempt that cannot be followed by another may take all the time that is left.
+fn patience(gate: &Gate, call: &Call) -> Duration {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let share = call.route.timeout / MAX_ATTEMPTS;
+    if call.is_repeatable() {
+        left.min(share.max(gate.settings.limits.progress))
+    } else {
+        left
+    }
+}
+
+/// Returns the error for a failed attempt, which tells what is known of all attempts.
+fn failure(call: &Call, failed: &AttemptError, may_have_run: bool) -> Error {
+    let kind = match failed {
+        AttemptError::Unsent(_) if !may_have_run => ErrorKind::NoEndpoint,
+        _ if Instant::now() >= call.deadline => ErrorKind::DeadlineExceeded,
+        _ if !call.is_repeatable() => ErrorKind::OutcomeUnknown,
+        _ => ErrorKind::EndpointFailed,
+    };
+    let error = Error::new(kind, failed.to_string());
+    match kind {
+        ErrorKind::EndpointFailed => error.with_outcome(Outcome::Unknown),
+        _ => error,
     }
-    let progress = gate.settings.limits.progress;
-    let (parts, bytes) = attempt::read_whole(&gate.http, answer, progress).await?;
-    let mut response = Response::new(full_body(bytes));
-    *response.status_mut() = parts.status;
-    copy_headers(&parts.headers, response.headers_mut());
-    Ok(response)
 }
 
-fn stream_on(answer: Answer, guard: InFlightGuard) -> Response<ReplyBody> {
-    let (parts, body) = answer.response.into_parts();
-    let lent = (answer.lent, guard);
-    let frames = stream::unfold((body, lent), |(mut body, lent)| async move {
-        let frame = body.frame().await?;
-        let frame = frame.map_err(BodyError::from);
-        Some((frame, (body, lent)))
-    })
-    .filter_map(|frame| async move {
-        match frame {
-            Ok(frame) => frame.into_data().ok().map(|data| Ok(Frame::data(data))),
-            Err(error) => Some(Err(error)),
+/// Records what a failed attempt says of the version and of the request.
+async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
+    match error {
+        AttemptError::Unsent(_) | AttemptError::Status(_) => {}
+        AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
+        AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
+            gate.crashes.observe(call.digest(), endpoint).await;
+        }
+        AttemptError::Silent => {
+            let limit = gate.settings.limits.progress;
+            judge(gate, call, endpoint, SampleOutcome::Failed, limit);
         }
-    });
-    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+    }
+}
+
+fn judge(
+    gate: &Gate,
+    call: &Call,
+    endpoint: &Endpoint,
+    outcome: SampleOutcome,
+    first_byte: Duration,
+) {
+    if outcome == SampleOutcome::Failed && gate.leaving(endpoint).is_some() {
+        return;
+    }
+    gate.evidence
+        .record_call(call, &endpoint.version, outcome, first_byte);
+}
+
+/// Returns the answer to a caller that an endpoint's whole answer makes.
+pub(crate) fn whole_reply(parts: &Parts, bytes: Bytes) -> Response<ReplyBody> {
+    let mut response = Response::new(full_body(bytes));
     *response.status_mut() = parts.status;
     copy_headers(&parts.headers, response.headers_mut());
     response
 }
 
-fn copy_headers(from: &hyper::HeaderMap, to: &mut hyper::HeaderMap) {
-    const KEPT: [&str; 3] = ["content-type", "cache-control", "retry-after"];
+fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    const KEPT: [&str; 6] = [
+        "cache-control",
+        "content-type",
+        "etag",
+        "last-modified",
+        "location",
+        "retry-after",
+    ];
     for name in KEPT {
         if let Some(value) = from.get(name) {
             to.insert(name, value.clone());
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -160,6 +160,9 @@
     /// Time for which an orderly stop waits for requests in progress, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub drain: Duration,
+    /// Time for which an orderly stop serves callers that have not heard of it, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub linger: Duration,
 }
 
 impl Default for LimitSettings {
@@ -172,6 +175,7 @@
             receive: Duration::from_secs(10),
             progress: Duration::from_secs(3),
             drain: Duration::from_secs(30),
+            linger: Duration::from_secs(1),
         }
     }
 }
