--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -19,8 +20,12 @@
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
+use crate::RpcClients;
+use crate::SharedKey;
 use crate::config_store::ConfigStore;
+use crate::contact::Contact;
 use crate::live_store::LiveStore;
+use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
@@ -34,8 +39,11 @@
     pub(crate) settings: ControllerSettings,
     pub(crate) addrs: ControllerAddrs,
     pub(crate) config: ConfigStore,
+    pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
 }
 
 /// Addresses that a controller has bound.
@@ -68,6 +76,7 @@
         log: Arc<dyn PlatformLog>,
     ) -> Result<Arc<Self>> {
         let process = format!("controller/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let rpc = bind(settings.rpc).await?;
         let operators = bind(settings.operators).await?;
         let addrs = ControllerAddrs {
@@ -79,14 +88,15 @@
             settings,
             addrs,
             config: ConfigStore::new(),
+            contact: Contact::new(),
             live: LiveStore::new(),
             log,
+            rpc: RpcClients::new(key.clone()),
         });
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
-        let methods = plugins().into_iter().filter_map(|p| p.methods);
-        let methods = methods.map(|make| make(&controller));
-        serve_rpc(methods, rpc, controller.kernel.stopped.clone())?;
+        controller.serve_rpc(rpc, key)?;
+        serve_operators(&controller, operators);
         Ok(controller)
     }
 
@@ -144,6 +154,16 @@
         }
         Ok(())
     }
+
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
+        let mut methods = Methods::new();
+        for plugin in plugins() {
+            if let Some(make) = plugin.methods {
+                methods.merge(make(self)).map_err(internal)?;
+            }
+        }
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
+    }
 }
 
 fn plugins() -> Vec<&'static ControllerPlugin> {
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -18,11 +19,13 @@
 use crate::Kernel;
 use crate::Result;
 use crate::RetryBudget;
-use crate::Secret;
+use crate::RpcClients;
 use crate::ServerLimits;
+use crate::SharedKey;
 use crate::Timestamp;
 use crate::controller::bind;
 use crate::controller::bound;
+use crate::controller::internal;
 use crate::counters::GateCounters;
 use crate::crash::Crashes;
 use crate::gate_http;
@@ -48,8 +51,10 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
-    pub(crate) secret: Secret,
+    pub(crate) key: SharedKey,
     pub(crate) budget: RetryBudget,
     pub(crate) counters: GateCounters,
     pub(crate) crashes: Crashes,
@@ -80,13 +85,13 @@
     /// Fails when a port cannot be bound or a subsystem cannot start.
     pub async fn start(settings: GateSettings) -> Result<Arc<Self>> {
         let process = format!("gate/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
         let addrs = GateAddrs {
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
         };
-        let secret = Secret::load(&settings.secret_file)?;
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let gate = Arc::new(Self {
             evidence: EvidenceRecorder::new(kernel.clock),
@@ -95,8 +100,9 @@
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
-            secret,
+            key: key.clone(),
             budget: RetryBudget::default(),
             counters: GateCounters::default(),
             crashes: Crashes::default(),
@@ -110,9 +116,7 @@
         for plugin in plugins() {
             (plugin.start)(&gate)?;
         }
-        let methods = plugins().into_iter().filter_map(|p| p.methods);
-        let methods = methods.map(|make| make(&gate));
-        serve_rpc(methods, rpc, gate.kernel.stopped.clone())?;
+        gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
         Ok(gate)
     }
@@ -208,6 +212,16 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
+        let mut methods = Methods::new();
+        for plugin in plugins() {
+            if let Some(make) = plugin.methods {
+                methods.merge(make(self)).map_err(internal)?;
+            }
+        }
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
+    }
+
     fn serve_callers(self: &Arc<Self>, listener: TcpListener) {
         let limits = self.settings.limits;
         let limits = ServerLimits {
--- a/lib/src/hand_over.rs
+++ b/lib/src/hand_over.rs
@@ -6,7 +6,6 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use indexmap::IndexMap;
-use jsonrpsee::http_client::HttpClientBuilder;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,7 +19,7 @@
 use crate::RequestId;
 use crate::ResumeToken;
 use crate::RoutingTable;
-use crate::SealedStates;
+use crate::RpcError;
 use crate::Timestamp;
 use crate::full_body;
 use crate::text_so_far::TextSoFar;
@@ -79,9 +78,8 @@
     let table = gate.table()?;
     let peers = peer_gates(gate, &table, customer);
     if let Some(state) = state {
-        let sealed = SealedStates::seal(&gate.secret, &[state]);
         for peer in peers.iter().take(PEERS_ASKED) {
-            match send(peer, &sealed).await {
+            match send(gate, peer, &state).await {
                 Ok(()) => return Some(peer.clone()),
                 Err(error) => tracing::warn!(%error, gate = %peer.rpc, "state not handed over"),
             }
@@ -90,11 +88,13 @@
     peers.into_iter().next()
 }
 
-async fn send(peer: &GateInfo, sealed: &SealedStates) -> Result<(), jsonrpsee::core::ClientError> {
-    let client = HttpClientBuilder::default()
-        .request_timeout(PEER_TIMEOUT)
-        .build(format!("http://{}", peer.rpc))?;
-    client.hand_over(sealed.clone()).await
+async fn send(gate: &Gate, peer: &GateInfo, state: &StreamState) -> Result<(), RpcError> {
+    let states = vec![state.clone()];
+    gate.rpc
+        .call(peer.rpc, PEER_TIMEOUT, |client| async move {
+            client.hand_over(states).await
+        })
+        .await
 }
 
 /// Returns the gates that take new requests, those of other failure domains first, then in a
--- a/lib/src/model_call.rs
+++ b/lib/src/model_call.rs
@@ -23,10 +23,10 @@
 use crate::completion::Completion;
 use crate::full_body;
 use crate::hand_over;
-use crate::relay::HandedOver;
-use crate::relay::Relay;
-use crate::relay::RelayItem;
 use crate::run;
+use crate::stream_relay::HandedOver;
+use crate::stream_relay::Relay;
+use crate::stream_relay::RelayItem;
 use crate::stream_reply;
 use crate::text_so_far::TextSoFar;
 
@@ -111,7 +111,7 @@
     if let Some(value) = call.headers.get(RESUME_HEADER) {
         text = Some(String::from_utf8_lossy(value.as_bytes()).into_owned());
     }
-    text.map(|text| ResumeToken::open(&gate.secret, &text, &call.customer))
+    text.map(|text| ResumeToken::open(&gate.key, &text, &call.customer))
         .transpose()
 }
 
--- a/lib/src/resume_token.rs
+++ b/lib/src/resume_token.rs
@@ -11,8 +11,8 @@
 use crate::ErrorKind;
 use crate::RequestId;
 use crate::Result;
-use crate::Secret;
 use crate::ServiceName;
+use crate::SharedKey;
 use crate::Timestamp;
 
 /// Header, and query parameter in the address of a redirect, that carry the token.
@@ -51,10 +51,10 @@
 
 impl ResumeToken {
     /// Returns the token as text, sealed with the shared key.
-    pub fn seal(&self, secret: &Secret) -> String {
+    pub fn seal(&self, key: &SharedKey) -> String {
         let json = serde_json::to_vec(self).unwrap_or_default();
         let payload = URL_SAFE_NO_PAD.encode(json);
-        let tag = secret.tag(PURPOSE, payload.as_bytes());
+        let tag = key.tag(PURPOSE, payload.as_bytes());
         format!("{payload}.{tag}")
     }
 
@@ -64,10 +64,10 @@
     ///
     /// Fails with [`ErrorKind::BadRequest`] when the token is malformed or its seal is wrong, and
     /// with [`ErrorKind::Forbidden`] when it was given to another customer.
-    pub fn open(secret: &Secret, text: &str, customer: &CustomerName) -> Result<Self> {
+    pub fn open(key: &SharedKey, text: &str, customer: &CustomerName) -> Result<Self> {
         let bad = || Error::new(ErrorKind::BadRequest, "the resume token is not valid");
         let (payload, tag) = text.split_once('.').ok_or_else(bad)?;
-        if !secret.verify(PURPOSE, payload.as_bytes(), tag) {
+        if !key.verify(PURPOSE, payload.as_bytes(), tag) {
             return Err(bad());
         }
         let json = URL_SAFE_NO_PAD.decode(payload).map_err(|_base64| bad())?;
--- a/lib/src/relay_leave.rs
+++ b/lib/src/stream_leave.rs
@@ -13,12 +13,12 @@
 use crate::engine_stream::EngineStream;
 use crate::hand_over;
 use crate::reclaim_plan;
-use crate::relay::HandedOver;
-use crate::relay::Relay;
-use crate::relay::RelayItem;
-use crate::relay::TOKEN_BYTES;
-use crate::relay_open::REOPEN_TIMEOUT;
 use crate::router;
+use crate::stream_open::REOPEN_TIMEOUT;
+use crate::stream_relay::HandedOver;
+use crate::stream_relay::Relay;
+use crate::stream_relay::RelayItem;
+use crate::stream_relay::TOKEN_BYTES;
 
 impl Relay {
     /// Acts on a notice for the endpoint that generates.
--- a/lib/src/relay_open.rs
+++ b/lib/src/stream_open.rs
@@ -19,11 +19,11 @@
 use crate::counters::Count;
 use crate::engine_stream;
 use crate::engine_stream::EngineStream;
-use crate::relay::Relay;
-use crate::relay::RelayItem;
-use crate::relay::TOKEN_BYTES;
 use crate::retry;
 use crate::router;
+use crate::stream_relay::Relay;
+use crate::stream_relay::RelayItem;
+use crate::stream_relay::TOKEN_BYTES;
 
 /// Attempts at a request that no engine has accepted yet.
 const MAX_ATTEMPTS: u32 = 3;
--- a/lib/src/stream_reply.rs
+++ b/lib/src/stream_reply.rs
@@ -19,8 +19,8 @@
 use crate::hand_over;
 use crate::model_call::AnswerName;
 use crate::problem;
-use crate::relay::HandedOver;
-use crate::relay::RelayItem;
+use crate::stream_relay::HandedOver;
+use crate::stream_relay::RelayItem;
 
 /// Silence after which a comment is sent.
 const HEARTBEAT: Duration = Duration::from_secs(1);
