--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,11 +2,15 @@
 //!
 //! The library knows nothing of command lines; the programs are thin binaries over it.
 
+mod append_batcher;
 mod attempt;
 mod call;
 mod checkpoint;
 mod checkpoint_writer;
 mod completion;
+mod claim_rpc;
+mod claim_state;
+mod claim_tail;
 mod config_store;
 mod config_submit;
 mod config_tail;
@@ -23,6 +27,8 @@
 mod event;
 mod events_rpc;
 mod evidence;
+mod fold_clock;
+mod fold_store;
 mod gate;
 mod gate_http;
 mod gate_rpc;
@@ -66,6 +72,7 @@
 mod stream_open;
 mod stream_relay;
 mod stream_reply;
+mod stream_tail;
 mod table;
 mod table_rpc;
 mod text_so_far;
@@ -73,6 +80,8 @@
 mod token;
 
 pub use checkpoint::*;
+pub use claim_rpc::*;
+pub use claim_state::*;
 pub use contact::ISOLATION_LIMIT;
 pub use controller::*;
 pub use counters::GateCounts;
@@ -84,6 +93,7 @@
 pub use event::*;
 pub use events_rpc::*;
 pub use evidence::*;
+pub use fold_clock::*;
 pub use gate::*;
 pub use gate_rpc::*;
 pub use hand_over::StreamState;
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -8,6 +8,7 @@
 use jsonrpsee::Methods;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::proc_macros::rpc;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
@@ -132,15 +133,12 @@
 
 async fn pull_from(controller: &Controller, peer: SocketAddr) -> Result<(), RpcError> {
     let from = controller.config.next();
-    let pulled = controller
-        .rpc
-        .call_twice(peer, PEER_TIMEOUT, |client| async move {
-            client.pull(from).await
-        });
-    match pulled.await? {
+    let pull = async |client: HttpClient| client.pull(from).await;
+    match controller.rpc.call_twice(peer, PEER_TIMEOUT, pull).await? {
+        PullReply::Nothing => {}
         // Records alone never start a state: they may be a part of the stream.
         PullReply::Records(records) if from > Offset(0) => controller.apply_config(&records),
-        PullReply::Nothing | PullReply::Records(_) => {}
+        PullReply::Records(_) => {}
         PullReply::Snapshot(state) => {
             let offset = state.next;
             controller.config.install(*state);
@@ -168,11 +166,8 @@
             let records = records.clone();
             let rpc = controller.rpc.clone();
             controller.kernel.spawn(async move {
-                let pushed = rpc.call_twice(peer, PEER_TIMEOUT, |client| {
-                    let records = records.clone();
-                    async move { client.push(records).await }
-                });
-                if let Err(error) = pushed.await {
+                let push = async |client: HttpClient| client.push(records).await;
+                if let Err(error) = rpc.call(peer, PEER_TIMEOUT, push).await {
                     tracing::debug!(%error, %peer, "pushing records to a peer failed");
                 }
             });
