--- a/lib/src/shared_key.rs
+++ b/lib/src/shared_key.rs
@@ -7,6 +7,10 @@
 use std::task::Context;
 use std::task::Poll;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::Hmac;
+use hmac::Mac;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -74,6 +78,27 @@
         HeaderMap::from_iter([(AUTHORIZATION, self.header.clone())])
     }
 
+    /// Returns the tag of `bytes` for a stated use (HMAC with SHA-256, base64url).
+    pub fn tag(&self, purpose: &str, bytes: &[u8]) -> String {
+        URL_SAFE_NO_PAD.encode(self.mac(purpose, bytes).finalize().into_bytes())
+    }
+
+    /// Tells whether `tag` is the tag of `bytes` for a stated use, in constant time.
+    pub fn verify(&self, purpose: &str, bytes: &[u8], tag: &str) -> bool {
+        URL_SAFE_NO_PAD
+            .decode(tag)
+            .is_ok_and(|tag| self.mac(purpose, bytes).verify_slice(&tag).is_ok())
+    }
+
+    fn mac(&self, purpose: &str, bytes: &[u8]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(self.header.as_bytes())
+            .unwrap_or_else(|_length| unreachable!("HMAC takes keys of any length"));
+        mac.update(purpose.as_bytes());
+        mac.update(&[0]);
+        mac.update(bytes);
+        mac
+    }
+
     /// Tells whether a request carries the key, in time that does not depend on the key.
     pub fn admits(&self, headers: &HeaderMap) -> bool {
         let Some(given) = headers.get(AUTHORIZATION) else {
