--- a/lib/src/claim_state.rs
+++ b/lib/src/claim_state.rs
@@ -351,8 +351,7 @@
             let status = self.entries.get_mut(&key).map(|e| &mut e.status);
             if let Some(ClaimStatus::Finished { reply, .. }) = status {
                 self.body_bytes -= reply.body.len();
-                reply.omitted = reply.omitted.or(Some(reply.body.len() as u64));
-                reply.body = Vec::new();
+                *reply = reply.without_body();
             }
         }
     }
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use jsonrpsee::Methods;
-use jsonrpsee::server::ServerBuilder;
-use jsonrpsee::server::ServerHandle;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -26,6 +24,7 @@
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
+use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
@@ -158,17 +157,7 @@
                 methods.merge(make(self)).map_err(internal)?;
             }
         }
-        let std = listener.into_std().map_err(internal)?;
-        let server = ServerBuilder::default()
-            .build_from_tcp(std)
-            .map_err(internal)?;
-        let handle: ServerHandle = server.start(methods);
-        let stopped = self.kernel.stopped.clone();
-        tokio::spawn(async move {
-            stopped.cancelled().await;
-            let _ = handle.stop();
-        });
-        Ok(())
+        serve_rpc(listener, methods, self.kernel.stopped.clone())
     }
 }
 
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -14,11 +15,16 @@
 use crate::Kernel;
 use crate::Result;
 use crate::ServerLimits;
+use crate::claim_client::RpcClients;
 use crate::controller::bind;
 use crate::controller::bound;
+use crate::controller::internal;
 use crate::gate_http;
 use crate::in_flight::InFlight;
+use crate::once;
+use crate::once::Once;
 use crate::routing_table::RoutingTable;
+use crate::rpc_server::serve_rpc;
 use crate::serve;
 
 /// Time within which background tasks end at a stop.
@@ -33,6 +39,8 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    pub(crate) once: Once,
+    pub(crate) rpc_clients: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     served: watch::Sender<bool>,
 }
@@ -66,12 +74,15 @@
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            once: Once::default(),
+            rpc_clients: RpcClients::default(),
             table: watch::Sender::new(None),
             served: watch::Sender::new(false),
         });
         for plugin in plugins() {
             (plugin.start)(&gate)?;
         }
+        gate.serve_gates(rpc)?;
         gate.serve_callers(callers);
         Ok(gate)
     }
@@ -96,6 +107,7 @@
         self.kernel.stopping.cancel();
         let mut served = self.served.subscribe();
         let _ = served.wait_for(|done| *done).await;
+        once::drain(self, self.settings.limits.drain).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
@@ -109,6 +121,14 @@
         }
     }
 
+    fn serve_gates(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+        let mut methods = Methods::new();
+        for make in plugins().iter().filter_map(|p| p.methods) {
+            methods.merge(make(self)).map_err(internal)?;
+        }
+        serve_rpc(listener, methods, self.kernel.stopped.clone())
+    }
+
     fn serve_callers(self: &Arc<Self>, listener: TcpListener) {
         let limits = self.settings.limits;
         let limits = ServerLimits {
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -15,6 +15,7 @@
 use crate::RoutingTable;
 use crate::call;
 use crate::entries::entry_answer;
+use crate::once;
 use crate::problem::problem;
 use crate::rank_entries;
 use crate::run;
@@ -38,7 +39,11 @@
         return list_entries(&table, &request);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
-    run::run(&gate, call).await
+    if call.is_repeatable() {
+        run::run(&gate, call).await
+    } else {
+        once::run_once(&gate, call).await
+    }
 }
 
 fn list_entries(table: &RoutingTable, request: &Request<Incoming>) -> Result<Response<ReplyBody>> {
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -256,6 +256,18 @@
     pub omitted: Option<u64>,
 }
 
+impl StoredReply {
+    /// Returns the answer without its body.
+    pub fn without_body(&self) -> Self {
+        Self {
+            status: self.status,
+            headers: self.headers.clone(),
+            body: Vec::new(),
+            omitted: self.omitted.or(Some(self.body.len() as u64)),
+        }
+    }
+}
+
 /// A change of a claim.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "change")]
@@ -296,6 +308,18 @@
     },
 }
 
+impl ClaimChange {
+    /// Returns the call and the attempt that the change is about.
+    pub fn subject(&self) -> (&ClaimKey, AttemptId) {
+        match self {
+            Self::Abandon { key, attempt }
+            | Self::Acquire { key, attempt, .. }
+            | Self::Finish { key, attempt, .. }
+            | Self::Release { key, attempt } => (key, *attempt),
+        }
+    }
+}
+
 /// A request that is answered later.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
