--- a/lib/src/claim_client.rs
+++ b/lib/src/claim_client.rs
@@ -8,10 +8,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use indexmap::IndexMap;
-use jsonrpsee::http_client::HttpClient as RpcClient;
-use jsonrpsee::http_client::HttpClientBuilder;
-use parking_lot::Mutex;
+use jsonrpsee::http_client::HttpClient;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -39,14 +36,8 @@
 /// Time by which an answer may exceed the time that a home was asked to wait.
 const WAIT_GRACE: Duration = Duration::from_millis(500);
 
-/// Time after which a call is given up by the client library.
-const REQUEST_LIMIT: Duration = Duration::from_secs(10);
-
-/// Connections to controllers.
-#[derive(Debug, Default)]
-pub(crate) struct RpcClients {
-    clients: Mutex<IndexMap<SocketAddr, RpcClient>>,
-}
+/// Time within which a home must answer an acquisition.
+const ASK_LIMIT: Duration = Duration::from_millis(1800);
 
 /// What came of an acquisition.
 #[derive(Debug)]
@@ -64,22 +55,6 @@
     Undecided(String),
 }
 
-impl RpcClients {
-    /// Returns a client of the RPC port at `address`.
-    pub(crate) fn get(&self, address: SocketAddr) -> Option<RpcClient> {
-        let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&address) {
-            return Some(client.clone());
-        }
-        let client = HttpClientBuilder::default()
-            .request_timeout(REQUEST_LIMIT)
-            .build(format!("http://{address}"))
-            .ok()?;
-        clients.insert(address, client.clone());
-        Some(client)
-    }
-}
-
 /// Returns the controllers to ask about `key`, its home first.
 ///
 /// Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
@@ -143,26 +118,22 @@
 }
 
 async fn ask(gate: &Gate, home: SocketAddr, record: &Envelope) -> AcquireAnswer {
-    let Some(client) = gate.rpc_clients.get(home) else {
-        return AcquireAnswer::Undecided;
-    };
-    client
-        .acquire(record.clone())
-        .await
-        .unwrap_or(AcquireAnswer::Undecided)
+    let call = |client: HttpClient| async move { client.acquire(record.clone()).await };
+    let answer = gate.rpc.call(home, ASK_LIMIT, call).await;
+    answer.unwrap_or(AcquireAnswer::Undecided)
 }
 
 /// Waits while another attempt holds the claim.
 ///
 /// Returns `None` when no home answers.
 pub(crate) async fn wait(gate: &Gate, query: &ClaimQuery) -> Option<ClaimView> {
-    let homes = homes(gate, &query.key.to_string());
-    for home in homes.into_iter().take(HOMES_ASKED) {
-        let Some(client) = gate.rpc_clients.get(home) else {
-            continue;
-        };
-        let answer = client.wait(query.clone());
-        if let Ok(Ok(view)) = tokio::time::timeout(query.wait + WAIT_GRACE, answer).await {
+    let limit = query.wait + WAIT_GRACE;
+    for home in homes(gate, &query.key.to_string())
+        .into_iter()
+        .take(HOMES_ASKED)
+    {
+        let call = |client: HttpClient| async move { client.wait(query.clone()).await };
+        if let Ok(view) = gate.rpc.call(home, limit, call).await {
             return Some(view);
         }
     }
@@ -172,12 +143,9 @@
 /// Has a record appended; tells whether it is in the log.
 pub(crate) async fn put(gate: &Gate, key: &str, record: &Envelope) -> bool {
     for home in homes(gate, key).into_iter().take(HOMES_ASKED) {
-        let Some(client) = gate.rpc_clients.get(home) else {
-            continue;
-        };
-        let answer = client.put(record.clone());
-        let answer = tokio::time::timeout(PUT_LIMIT, answer).await;
-        if let Ok(Ok(PutAnswer::Appended)) = answer {
+        let call = |client: HttpClient| async move { client.put(record.clone()).await };
+        let answer = gate.rpc.call(home, PUT_LIMIT, call).await;
+        if matches!(answer, Ok(PutAnswer::Appended)) {
             return true;
         }
     }
--- a/lib/src/claim_holder.rs
+++ b/lib/src/claim_holder.rs
@@ -7,6 +7,7 @@
 use jsonrpsee::Methods;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::proc_macros::rpc;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -200,13 +201,14 @@
     let table = gate.table();
     let member = table.as_ref().and_then(|t| t.live.members.get(node));
     let address = member.and_then(|m| m.gate.as_ref()).map(|g| g.rpc);
-    let Some(client) = address.and_then(|a| gate.rpc_clients.get(a)) else {
+    let Some(address) = address else {
         return Holder::Unsure;
     };
-    match tokio::time::timeout(ASK_LIMIT, client.progress(attempt)).await {
-        Ok(Ok(Some(progress))) => Holder::Present(progress),
-        Ok(Ok(None)) => Holder::Gone,
-        Ok(Err(_)) | Err(_) => Holder::Unsure,
+    let call = |client: HttpClient| async move { client.progress(attempt).await };
+    match gate.rpc.call_twice(address, ASK_LIMIT, call).await {
+        Ok(Some(progress)) => Holder::Present(progress),
+        Ok(None) => Holder::Gone,
+        Err(_) => Holder::Unsure,
     }
 }
 
@@ -221,11 +223,9 @@
         .values()
         .filter(|m| m.node != gate.kernel.node && m.state == MemberState::Alive);
     for info in others.filter_map(|m| m.gate.as_ref()) {
-        let Some(client) = gate.rpc_clients.get(info.rpc) else {
-            continue;
-        };
-        let adopted = client.adopt(records.clone());
-        if matches!(tokio::time::timeout(ASK_LIMIT, adopted).await, Ok(Ok(()))) {
+        let records = records.clone();
+        let call = |client: HttpClient| async move { client.adopt(records.clone()).await };
+        if gate.rpc.call(info.rpc, ASK_LIMIT, call).await.is_ok() {
             return true;
         }
     }
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -20,10 +20,13 @@
 use crate::MemberState;
 use crate::PlatformLog;
 use crate::Result;
+use crate::RpcClients;
+use crate::SharedKey;
 use crate::claim_tail::ClaimStore;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::live_store::LiveStore;
+use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
 
 /// Time within which background tasks end at a stop.
@@ -41,6 +44,8 @@
     pub(crate) contact: Contact,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
 }
 
 /// Addresses that a controller has bound.
@@ -73,6 +78,7 @@
         log: Arc<dyn PlatformLog>,
     ) -> Result<Arc<Self>> {
         let process = format!("controller/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let rpc = bind(settings.rpc).await?;
         let operators = bind(settings.operators).await?;
         let addrs = ControllerAddrs {
@@ -88,10 +94,12 @@
             contact: Contact::new(),
             live: LiveStore::new(),
             log,
+            rpc: RpcClients::new(key.clone()),
         });
         controller.live.put_member(controller.own_member());
         controller.start_plugins()?;
-        controller.serve_rpc(rpc)?;
+        controller.serve_rpc(rpc, key)?;
+        serve_operators(&controller, operators);
         Ok(controller)
     }
 
@@ -150,14 +158,14 @@
         Ok(())
     }
 
-    fn serve_rpc(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
         let mut methods = Methods::new();
         for plugin in plugins() {
             if let Some(make) = plugin.methods {
                 methods.merge(make(self)).map_err(internal)?;
             }
         }
-        serve_rpc(listener, methods, self.kernel.stopped.clone())
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
     }
 }
 
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -14,8 +14,9 @@
 use crate::HttpClient;
 use crate::Kernel;
 use crate::Result;
+use crate::RpcClients;
 use crate::ServerLimits;
-use crate::claim_client::RpcClients;
+use crate::SharedKey;
 use crate::controller::bind;
 use crate::controller::bound;
 use crate::controller::internal;
@@ -40,7 +41,8 @@
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
     pub(crate) once: Once,
-    pub(crate) rpc_clients: RpcClients,
+    /// Clients of other processes' RPC ports.
+    pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     served: watch::Sender<bool>,
 }
@@ -62,6 +64,7 @@
     /// Fails when a port cannot be bound or a subsystem cannot start.
     pub async fn start(settings: GateSettings) -> Result<Arc<Self>> {
         let process = format!("gate/{}", settings.place.node);
+        let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
         let addrs = GateAddrs {
@@ -75,14 +78,14 @@
             http: HttpClient::new(),
             in_flight: InFlight::default(),
             once: Once::default(),
-            rpc_clients: RpcClients::default(),
+            rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
             served: watch::Sender::new(false),
         });
         for plugin in plugins() {
             (plugin.start)(&gate)?;
         }
-        gate.serve_gates(rpc)?;
+        gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
         Ok(gate)
     }
@@ -121,12 +124,14 @@
         }
     }
 
-    fn serve_gates(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+    fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
         let mut methods = Methods::new();
-        for make in plugins().iter().filter_map(|p| p.methods) {
-            methods.merge(make(self)).map_err(internal)?;
+        for plugin in plugins() {
+            if let Some(make) = plugin.methods {
+                methods.merge(make(self)).map_err(internal)?;
+            }
         }
-        serve_rpc(listener, methods, self.kernel.stopped.clone())
+        serve_rpc(listener, methods, key, self.kernel.stopped.clone())
     }
 
     fn serve_callers(self: &Arc<Self>, listener: TcpListener) {
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -2,4 +2,6 @@
 
 mod process;
 
+pub mod lab_commands;
+
 pub use process::*;
