--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -20,6 +20,7 @@
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
+use crate::once;
 use crate::problem::problem;
 use crate::rank_entries;
 use crate::run;
@@ -52,6 +53,9 @@
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
+    if !call.is_repeatable() {
+        return once::run_once(&gate, call).await;
+    }
     if model_call::is_completion(&call) {
         return model_call::run(&gate, call).await;
     }
