--- a/programs/tests/testutils/deployment.rs
+++ b/programs/tests/testutils/deployment.rs
@@ -152,6 +152,12 @@
         let rpc = self.proxy.link(&format!("rpc-{index}"), None).await;
         let callers = self.proxy.link(&format!("gate-{index}"), None).await;
         self.proxy.link(&format!("handover-{index}"), None).await;
+        let vm = json!({
+            "name": entry_vm(index), "token": entry_vm(index), "class": "entry",
+            "domain": DOMAINS[index % DOMAINS.len()], "market": "reclaimable",
+            "address": callers, "price": 0,
+        });
+        self.control_cloud("/control/vms", &vm).await;
         let controller = self.start_controller(index, rpc).await;
         let gate = self.start_gate(index, rpc, callers).await;
         self.entries.push(Entry {
@@ -296,9 +302,7 @@
     async fn start_vm(&self, token: &str, domain: &str, address: SocketAddr) -> String {
         let cloud = self.cloud.http();
         let server = json!({"domain": domain, "address": address});
-        self.http
-            .post::<Value>(cloud, "/control/servers", &server)
-            .await;
+        self.control_cloud("/control/servers", &server).await;
         let start = json!({
             "token": token, "class": "small", "domain": domain, "market": "reclaimable",
         });
@@ -405,9 +409,13 @@
     /// Gives notice to a server's machine, `ms` milliseconds before its end.
     pub async fn give_notice(&self, vm: &str, ms: u64) {
         let order = json!({"vm": vm, "ms": ms});
-        self.http
-            .post::<Value>(self.cloud.http(), "/control/notice", &order)
-            .await;
+        self.control_cloud("/control/notice", &order).await;
+    }
+
+    async fn control_cloud(&self, path: &str, body: &Value) {
+        let call = Call::post(path, body);
+        let answer = self.http.send(self.cloud.http(), call).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
     }
 
     /// Returns a server by name.
@@ -435,11 +443,17 @@
     }
 }
 
+/// Returns the name of an entry's machine.
+pub fn entry_vm(index: usize) -> String {
+    format!("entry-vm-{index}")
+}
+
 fn place(index: usize) -> String {
     let domain = DOMAINS[index % DOMAINS.len()];
     format!(
-        "[place]\nnode = \"entry-{index}\"\nvm = \"entry-vm-{index}\"\ndomain = \"{domain}\"\n\
-         region = \"jos-plateau\""
+        "[place]\nnode = \"entry-{index}\"\nvm = \"{}\"\ndomain = \"{domain}\"\n\
+         region = \"jos-plateau\"",
+        entry_vm(index)
     )
 }
 
