--- a/lib/src/contact.rs
+++ b/lib/src/contact.rs
@@ -45,6 +45,11 @@
         self.heard.lock().log.elapsed()
     }
 
+    /// Returns the time since the last answer of a peer, `None` when there never was one.
+    pub(crate) fn peer_silence(&self) -> Option<Duration> {
+        self.heard.lock().peer.map(|at| at.elapsed())
+    }
+
     /// Tells whether the node has heard from neither for too long.
     ///
     /// A node that never had a peer is the whole deployment and is never isolated.
--- a/lib/src/evidence.rs
+++ b/lib/src/evidence.rs
@@ -63,12 +63,14 @@
         let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         let mut shard = self.shards[hash as usize % SHARDS].lock();
         let counters = shard.entry(key).or_default();
+        counters.latency.resize(LATENCY_BOUNDS_MS.len() + 1, 0);
         match outcome {
-            SampleOutcome::Ok => counters.ok += 1,
+            SampleOutcome::Ok => {
+                counters.ok += 1;
+                counters.latency[bucket(first_byte)] += 1;
+            }
             SampleOutcome::Failed => counters.failed += 1,
         }
-        counters.latency.resize(LATENCY_BOUNDS_MS.len() + 1, 0);
-        counters.latency[bucket(first_byte)] += 1;
     }
 
     /// Returns the rows since the last call.
--- a/lib/src/fact.rs
+++ b/lib/src/fact.rs
@@ -17,6 +17,7 @@
 use crate::MoveName;
 use crate::NodeName;
 use crate::RegionName;
+use crate::Step;
 use crate::Stop;
 use crate::Timestamp;
 use crate::VmName;
@@ -141,6 +142,17 @@
     pub stop: Stop,
 }
 
+/// A step that a move has reached; the highest wins, then the earliest.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StepFact {
+    /// Move.
+    #[serde(rename = "m")]
+    pub name: MoveName,
+    /// Step.
+    #[serde(rename = "s")]
+    pub step: Step,
+}
+
 /// One process's counters about a version; each counter only grows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EvidenceFact {
@@ -190,6 +202,9 @@
     /// Health of a controller.
     #[serde(rename = "m")]
     Member(MemberFact),
+    /// A step that a move has reached.
+    #[serde(rename = "p")]
+    Step(StepFact),
     /// A stopped version.
     #[serde(rename = "s")]
     Stop(StopFact),
@@ -208,7 +223,9 @@
     Leaving(VmName),
     /// The controller of a node.
     Member(NodeName),
-    /// A move.
+    /// The step of a move.
+    Step(MoveName),
+    /// The stop of a move.
     Stop(MoveName),
 }
 
@@ -221,6 +238,7 @@
             Self::Gate(f) => FactKey::Gate(f.node.clone()),
             Self::Leaving(f) => FactKey::Leaving(f.vm.clone()),
             Self::Member(f) => FactKey::Member(f.node.clone()),
+            Self::Step(f) => FactKey::Step(f.name.clone()),
             Self::Stop(f) => FactKey::Stop(f.name.clone()),
         }
     }
@@ -236,6 +254,7 @@
             (Self::Gate(a), Self::Gate(b)) => replace_lower(a, b, GateFact::rank),
             (Self::Leaving(a), Self::Leaving(b)) => replace_lower(a, b, |f| Reverse(f.deadline)),
             (Self::Member(a), Self::Member(b)) => replace_lower(a, b, MemberFact::rank),
+            (Self::Step(a), Self::Step(b)) => replace_lower(a, b, StepFact::rank),
             (Self::Stop(a), Self::Stop(b)) => replace_lower(a, b, StopFact::rank),
             _ => false,
         }
@@ -252,7 +271,7 @@
             Self::Gate(f) => f.info.is_none() && now.since(f.at) > GONE_KEPT,
             Self::Leaving(f) => now.since(f.deadline) > LEAVING_KEPT,
             Self::Member(f) => f.state == MemberState::Dead && now.since(f.since) > GONE_KEPT,
-            Self::Stop(_) => false,
+            Self::Step(_) | Self::Stop(_) => false,
         }
     }
 
@@ -261,7 +280,7 @@
         match self {
             Self::Crash(_) | Self::Leaving(_) | Self::Stop(_) => true,
             Self::Gate(f) => f.info.as_ref().is_some_and(|info| !info.accepting),
-            Self::Evidence(_) | Self::Member(_) => false,
+            Self::Evidence(_) | Self::Member(_) | Self::Step(_) => false,
         }
     }
 }
@@ -288,6 +307,12 @@
     }
 }
 
+impl StepFact {
+    fn rank(&self) -> impl Ord + use<> {
+        (self.step.index, Reverse(self.step.at))
+    }
+}
+
 impl StopFact {
     fn rank(&self) -> impl Ord + use<> {
         Reverse((self.stop.at, self.stop.reason.clone()))
--- a/lib/src/fact_store.rs
+++ b/lib/src/fact_store.rs
@@ -164,6 +164,9 @@
                 Fact::Leaving(f) => {
                     view.leaving.insert(f.vm.clone(), f.deadline);
                 }
+                Fact::Step(f) => {
+                    view.steps.insert(f.name.clone(), f.step);
+                }
                 Fact::Stop(f) => {
                     view.stops.insert(f.name.clone(), f.stop.clone());
                 }
@@ -266,16 +269,20 @@
             return true;
         }
         match fact {
-            Fact::Stop(f) => {
-                let running = self.running.as_ref();
-                let over = running.is_some_and(|moves| !moves.contains(&f.name));
-                over && f.stop.at.0 + STOP_GRACE_MS < now.0
-            }
+            Fact::Step(f) => self.is_over(&f.name, f.step.at, now),
+            Fact::Stop(f) => self.is_over(&f.name, f.stop.at, now),
             Fact::Evidence(f) => window_start(f.key.window).0 > now.0 + STOP_GRACE_MS,
             _ => false,
         }
     }
 
+    /// Tells whether a fact about a move that was stated at `at` belongs to none that runs.
+    fn is_over(&self, name: &MoveName, at: Timestamp, now: Timestamp) -> bool {
+        let running = self.running.as_ref();
+        let over = running.is_some_and(|moves| !moves.contains(name));
+        over && at.0 + STOP_GRACE_MS < now.0
+    }
+
     fn is_full(&self, fact: &Fact) -> bool {
         match fact {
             Fact::Evidence(_) => {
@@ -345,6 +352,7 @@
         Fact::Gate(f) => xxh3_64(f.node.as_str().as_bytes()) % BUCKETS,
         Fact::Leaving(f) => xxh3_64(f.vm.as_str().as_bytes()) % BUCKETS,
         Fact::Member(f) => xxh3_64(f.node.as_str().as_bytes()) % BUCKETS,
+        Fact::Step(f) => xxh3_64(f.name.as_str().as_bytes()) % BUCKETS,
         Fact::Stop(f) => xxh3_64(f.name.as_str().as_bytes()) % BUCKETS,
     };
     usize::try_from(bucket).ok()
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -72,6 +72,7 @@
 mod resume_token;
 mod retry;
 mod rollout;
+mod rollout_watch;
 mod router;
 mod routing_table;
 mod rpc_client;
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -206,6 +206,7 @@
 /// Reports what is new, at intervals or at once where it matters, until a report fails.
 async fn send_reports(gate: &Gate, client: &WsClient) -> LinkError {
     loop {
+        gather(gate);
         let mut facts = gate.reports.take(gate.kernel.clock.now());
         if gate.reports.is_news(&gate.info()) {
             facts.push(Fact::Gate(statement(gate)));
@@ -228,6 +229,25 @@
     }
 }
 
+/// Gathers what the gate has counted since the last report.
+///
+/// Evidence matters only while a move of the service runs.
+fn gather(gate: &Gate) {
+    let now = gate.kernel.clock.now();
+    for digest in gate.crashes.take_reports() {
+        gate.reports.count_crash(digest, now);
+    }
+    let table = gate.table();
+    for row in gate.evidence.take_rows() {
+        let running = table
+            .as_ref()
+            .and_then(|t| t.config.running_move(&row.key.service));
+        if running.is_some() {
+            gate.reports.add(&row);
+        }
+    }
+}
+
 /// Waits until the controller of the gate's own VM answers with a configuration that is not
 /// older than the one in force.
 async fn own_is_back(gate: &Gate) {
--- a/lib/src/live_delta.rs
+++ b/lib/src/live_delta.rs
@@ -10,6 +10,7 @@
 use crate::Member;
 use crate::MoveName;
 use crate::NodeName;
+use crate::Step;
 use crate::Stop;
 use crate::Timestamp;
 use crate::VmName;
@@ -28,6 +29,9 @@
     /// All stopped versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stops: Option<IndexMap<MoveName, Stop>>,
+    /// Steps of all running moves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub steps: Option<IndexMap<MoveName, Step>>,
     /// All crash counts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub crashes: Option<IndexMap<u64, u32>>,
@@ -47,6 +51,7 @@
             members: changed(old.map(|o| &o.members), &new.members),
             leaving: changed(old.map(|o| &o.leaving), &new.leaving),
             stops: changed(old.map(|o| &o.stops), &new.stops),
+            steps: changed(old.map(|o| &o.steps), &new.steps),
             crashes: changed(old.map(|o| &o.crashes), &new.crashes),
             evidence: changed_rows(old, new),
             window: window.unwrap_or(u64::MAX),
@@ -71,6 +76,10 @@
             keep_missing(&mut stops, &self.stops, delta.whole);
             self.stops = stops;
         }
+        if let Some(mut steps) = delta.steps {
+            keep_missing(&mut steps, &self.steps, delta.whole);
+            self.steps = steps;
+        }
         if let Some(mut crashes) = delta.crashes {
             keep_missing(&mut crashes, &self.crashes, delta.whole);
             self.crashes = crashes;
--- a/lib/src/live_store.rs
+++ b/lib/src/live_store.rs
@@ -21,10 +21,13 @@
 use crate::MemberState;
 use crate::MoveName;
 use crate::NodeName;
+use crate::Step;
+use crate::StepFact;
 use crate::Stop;
 use crate::StopFact;
 use crate::Timestamp;
 use crate::VmName;
+use crate::share_of;
 
 /// Time between two views that differ in evidence only.
 pub(crate) const EVIDENCE_PACE: Duration = Duration::from_millis(200);
@@ -98,6 +101,11 @@
         self.merge(vec![Fact::Leaving(LeavingFact { vm, deadline })]);
     }
 
+    /// Records that a move has reached a step.
+    pub(crate) fn mark_step(&self, name: MoveName, step: Step) {
+        self.merge(vec![Fact::Step(StepFact { name, step })]);
+    }
+
     /// Records that a move's new version is stopped; a stop is never taken back.
     pub(crate) fn mark_stopped(&self, name: MoveName, stop: Stop) {
         self.merge(vec![Fact::Stop(StopFact { name, stop })]);
@@ -246,6 +254,10 @@
                 "version.stopped",
                 &[("move", &f.name), ("reason", &f.stop.reason)],
             ),
+            Fact::Step(f) => self.events.record(
+                "move.step",
+                &[("move", &f.name), ("share", &share_of(f.step))],
+            ),
             Fact::Crash(f) => self.events.record(
                 "request.crashed_endpoint",
                 &[("digest", &f.digest), ("count", &f.count)],
--- a/lib/src/once_dispatch.rs
+++ b/lib/src/once_dispatch.rs
@@ -66,7 +66,6 @@
 /// An endpoint that honours keys is asked again after its answer was lost; one that can look
 /// keys up is asked for the answer.
 pub(crate) async fn dispatch_once(gate: &Gate, call: &Call, attempt: AttemptId) -> Dispatched {
-    let point = router::random_point();
     let mut tried = Vec::new();
     let mut detail = String::from("no endpoint takes new work");
     while tried.len() < MAX_ENDPOINTS {
@@ -74,7 +73,7 @@
             let detail = "the deadline passed before the call was sent";
             return Dispatched::Unsent(Error::new(ErrorKind::DeadlinePassed, detail));
         }
-        let Some(endpoint) = choose(gate, call, point, &tried) else {
+        let Some(endpoint) = choose(gate, call, &tried) else {
             break;
         };
         let _guard = gate.in_flight.enter(&endpoint.name);
@@ -100,11 +99,9 @@
     Dispatched::Unsent(Error::new(ErrorKind::NoEndpoint, detail))
 }
 
-fn choose(gate: &Gate, call: &Call, point: u32, tried: &[crate::EndpointName]) -> Option<Endpoint> {
+fn choose(gate: &Gate, call: &Call, tried: &[crate::EndpointName]) -> Option<Endpoint> {
     let table = gate.table()?;
-    let version = router::choose_version(&call.service, point)?;
-    let usable = router::usable(&table, &call.service, version, tried);
-    router::two_choices(&usable, &gate.in_flight).cloned()
+    router::choose(gate, &table, call, None, tried)
 }
 
 /// Sends one attempt on a new connection, since an idle one may be silently cut.
--- a/lib/src/operator_access.rs
+++ b/lib/src/operator_access.rs
@@ -23,8 +23,8 @@
 use crate::Timestamp;
 use crate::Verdict;
 use crate::events_rpc::collect_timeline;
+use crate::moved_share;
 use crate::operator_rpc;
-use crate::share_of;
 
 /// What the operator RPC sees of a controller.
 #[derive(Debug)]
@@ -98,11 +98,7 @@
     }
 
     fn share_now(&self, spec: &Move) -> u32 {
-        let live = self.controller.live();
-        if live.stops.contains_key(&spec.name) {
-            return 0;
-        }
-        live.steps.get(&spec.name).map_or(0, |step| share_of(*step))
+        moved_share(spec, &self.controller.live())
     }
 
     async fn submit(&self, change: ConfigChange) -> Result<(Offset, Verdict)> {
--- a/lib/src/reports.rs
+++ b/lib/src/reports.rs
@@ -12,9 +12,9 @@
 use crate::CrashFact;
 use crate::EvidenceFact;
 use crate::EvidenceKey;
+use crate::EvidenceRow;
 use crate::Fact;
 use crate::GateInfo;
-use crate::LATENCY_BOUNDS_MS;
 use crate::MoveName;
 use crate::NodeName;
 use crate::Origin;
@@ -22,7 +22,6 @@
 use crate::Stop;
 use crate::StopFact;
 use crate::Timestamp;
-use crate::millis;
 use crate::window_start;
 
 /// Time for which a gate keeps its own counters, so that another controller gets them whole.
@@ -34,15 +33,6 @@
 /// Change of the load that is reported, in thousandths.
 const LOAD_STEP: u32 = 100;
 
-/// What became of a request, as evidence about the version that ran it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Evidence {
-    /// It failed through the version's fault.
-    Failed,
-    /// It succeeded, with this time to the first byte.
-    Succeeded(Duration),
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     seq: u64,
@@ -73,11 +63,12 @@
         }
     }
 
-    /// Counts a request as evidence about a version.
-    pub fn count(&self, key: EvidenceKey, evidence: Evidence) {
+    /// Adds counters that a gate gathered as evidence about a version.
+    pub fn add(&self, row: &EvidenceRow) {
         let mut inner = self.inner.lock();
-        inner.new_counters.insert(key.clone());
-        add(inner.counters.entry(key).or_default(), evidence);
+        inner.new_counters.insert(row.key.clone());
+        let counters = inner.counters.entry(row.key.clone()).or_default();
+        add_counters(counters, &row.sum);
     }
 
     /// Counts an endpoint's crash against a request, and returns this gate's count.
@@ -198,14 +189,12 @@
     }
 }
 
-fn add(counters: &mut Counters, evidence: Evidence) {
-    match evidence {
-        Evidence::Failed => counters.failed += 1,
-        Evidence::Succeeded(time) => {
-            counters.ok += 1;
-            let bucket = LATENCY_BOUNDS_MS.partition_point(|bound| *bound < millis(time));
-            counters.latency.resize(LATENCY_BOUNDS_MS.len() + 1, 0);
-            counters.latency[bucket] += 1;
-        }
+fn add_counters(sum: &mut Counters, counters: &Counters) {
+    sum.ok += counters.ok;
+    sum.failed += counters.failed;
+    let buckets = sum.latency.len().max(counters.latency.len());
+    sum.latency.resize(buckets, 0);
+    for (total, seen) in sum.latency.iter_mut().zip(&counters.latency) {
+        *total += seen;
     }
 }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -9,6 +9,7 @@
 use crate::EvidenceRow;
 use crate::FULL_SHARE;
 use crate::LATENCY_BOUNDS_MS;
+use crate::LiveView;
 use crate::Move;
 use crate::Service;
 use crate::Timestamp;
@@ -100,6 +101,38 @@
     STEP_SHARES[(step.index as usize).min(last)]
 }
 
+/// Returns the share of each version of a service, in thousandths.
+///
+/// While a move runs, the versions that it names split what the configuration gives to both:
+/// the new one gets the share of the step reached, and nothing once it is stopped.
+pub fn shares_now<'a>(
+    service: &'a Service,
+    running: Option<&Move>,
+    live: &LiveView,
+) -> Vec<(&'a VersionName, u32)> {
+    let declared = |name: &VersionName| service.versions.get(name).map_or(0, |v| v.share);
+    service
+        .versions
+        .iter()
+        .map(|(name, version)| {
+            let Some(spec) = running.filter(|m| m.from == *name || m.to == *name) else {
+                return (name, version.share);
+            };
+            let both = declared(&spec.from) + declared(&spec.to);
+            let new = both * moved_share(spec, live) / FULL_SHARE;
+            (name, if spec.to == *name { new } else { both - new })
+        })
+        .collect()
+}
+
+/// Returns the share of the moving traffic that the new version gets now, in thousandths.
+pub fn moved_share(spec: &Move, live: &LiveView) -> u32 {
+    if live.stops.contains_key(&spec.name) {
+        return 0;
+    }
+    live.steps.get(&spec.name).map_or(0, |s| share_of(*s))
+}
+
 /// Decides about a running move.
 ///
 /// `step` is the step reached, `None` before the first. `evidence` holds the rows of the
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -11,6 +11,7 @@
 use crate::VersionName;
 use crate::call::Call;
 use crate::in_flight::InFlight;
+use crate::shares_now;
 
 /// Header by which a caller names the conversation that a request belongs to.
 const CONVERSATION_HEADER: &str = "x-conversation-id";
@@ -18,10 +19,10 @@
 /// Chooses a version by the shares in force.
 ///
 /// `point` is the request's place on the scale of shares, below [`FULL_SHARE`].
-pub(crate) fn choose_version(service: &Service, point: u32) -> Option<&VersionName> {
+fn choose_version<'a>(shares: &[(&'a VersionName, u32)], point: u32) -> Option<&'a VersionName> {
     let mut sum = 0;
-    for (name, version) in &service.versions {
-        sum += version.share;
+    for (name, share) in shares {
+        sum += share;
         if point < sum {
             return Some(name);
         }
@@ -40,12 +41,13 @@
     excluded: &[EndpointName],
 ) -> Option<Endpoint> {
     let service = &table.config.services.get(&call.service.name)?.value;
-    let drawn = choose_version(service, point_of(call));
-    let others = service.versions.iter().filter(|(_, v)| v.share > 0);
-    let order = wanted
-        .into_iter()
-        .chain(drawn)
-        .chain(others.map(|(n, _)| n));
+    let running = table.config.running_move(&service.name);
+    let shares = shares_now(service, running, &table.live);
+    let drawn = choose_version(&shares, point_of(call));
+    let served = shares.iter().filter(|(_, share)| *share > 0);
+    let served = served.map(|(name, _)| *name);
+    let wanted = wanted.filter(|w| served.clone().any(|name| name == *w));
+    let order = wanted.into_iter().chain(drawn).chain(served);
     let is_suspect = gate.crashes.is_suspect(call.digest());
     order
         .map(|version| usable(table, service, version, excluded))
