lab: evict the tail of a prompt first; tokens before a failed stream reach the reader

The tests of a failing stream and of cache events failed first: the last token before a failure was dropped with the connection's write buffer (3 of 4 tokens arrived), and a prompt larger than the cache evicted its own leading blocks again and again.

--- a/lab/src/cache.rs
+++ b/lab/src/cache.rs
@@ -47,19 +47,23 @@
 impl PrefixCache {
     /// Returns the number of leading tokens of `text` that are cached, and marks them used.
     pub(crate) fn look_up(&mut self, text: &str) -> u32 {
-        let mut cached = 0;
-        for block in blocks(text) {
-            if !self.touch(block) {
-                break;
-            }
-            cached += BLOCK_TOKENS as u32;
+        let mut cached = blocks(text);
+        let known = cached.iter().take_while(|b| self.blocks.contains_key(*b));
+        cached.truncate(known.count());
+        for block in cached.iter().rev() {
+            self.touch(*block);
         }
-        cached
+        (cached.len() * BLOCK_TOKENS) as u32
     }
 
-    /// Stores the blocks of `text`, evicting down to `capacity` blocks.
+    /// Stores the leading blocks of `text`, evicting down to `capacity` blocks.
+    ///
+    /// Within a text the last block counts as the least recently used, since a block is of no
+    /// use without those before it.
     pub(crate) fn store(&mut self, text: &str, capacity: usize, gap: u64) {
-        for block in blocks(text) {
+        let mut stored = blocks(text);
+        stored.truncate(capacity);
+        for block in stored.into_iter().rev() {
             if self.touch(block) {
                 continue;
             }
--- a/lab/src/stream.rs
+++ b/lab/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hawthornrack_lib::BodyError;
@@ -26,6 +27,9 @@
 /// Events in flight to a reader.
 const READER_EVENTS: usize = 16;
 
+/// Time for the tokens before a failure to reach the reader.
+const FLUSH_PAUSE: Duration = Duration::from_millis(20);
+
 impl Engine {
     /// Answers the events of a stream after a number of tokens.
     pub(crate) fn resume(self: &Arc<Self>, id: &str, call: &Call) -> Answer {
@@ -104,6 +108,8 @@
             None => {}
             Some(End::Finished) => return,
             Some(_) => {
+                // The server drops what it has not yet written when the body fails.
+                tokio::time::sleep(FLUSH_PAUSE).await;
                 let _ = sender.send(Err("the stream ended early".into())).await;
                 return;
             }
--- a/lab/tests/test_engine.rs
+++ b/lab/tests/test_engine.rs
@@ -4,21 +4,28 @@
 
 use std::time::Duration;
 
+use hawthornrack_lab::CacheReply;
 use hawthornrack_lab::EngineSettings;
 use hawthornrack_lab::EngineStats;
+use hawthornrack_lab::WeightSettings;
+use hawthornrack_lab::WeightStats;
 use hawthornrack_lab::generate_text;
 use hawthornrack_lab::run_engine;
+use hawthornrack_lab::run_weights;
 use hawthornrack_lib::ATTEMPT_HEADER;
 use hawthornrack_lib::CompletionChunk;
 use hawthornrack_lib::KvHandle;
 use hawthornrack_lib::KvStream;
+use hawthornrack_lib::LoadReport;
 use hawthornrack_lib::Order;
 use hawthornrack_lib::STREAM_HEADER;
 use hawthornrack_lib::SendError;
+use hawthornrack_lib::Timestamp;
 use hyper::Method;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::Instant;
 
 use self::testutils::Server;
 use self::testutils::Streamed;
@@ -238,3 +245,111 @@
         .await;
     assert!(matches!(after, Err(SendError::Connect(_))), "{after:?}");
 }
+
+#[tokio::test]
+async fn test_engine_failing_stream_breaks_off_without_its_end() {
+    let engine = engine(EngineSettings::default()).await;
+    let faults = json!({"faults": {"failure_rate": 1.0, "fail_after": 4}});
+    engine.control(&faults).await;
+    let answer = engine
+        .try_send(Method::POST, PATH, &streamed(PROMPT, 20))
+        .await;
+    let broken = read_events(answer.unwrap(), u32::MAX).await;
+    assert_eq!((broken.last, broken.whole), (4, false));
+    assert_eq!(broken.text, generate_text(PROMPT, 4));
+}
+
+#[tokio::test]
+async fn test_engine_cancelled_stream_stops_generating() {
+    let engine = engine(EngineSettings::default()).await;
+    let answer = engine
+        .try_send(Method::POST, PATH, &streamed(PROMPT, 4000))
+        .await
+        .unwrap();
+    let path = format!(
+        "/v1/streams/{}",
+        answer.headers()[STREAM_HEADER].to_str().unwrap()
+    );
+    engine.send(Method::DELETE, &path, &()).await;
+    assert!(!read_events(answer, u32::MAX).await.whole);
+    let stats: EngineStats = engine.get("/stats").await.unwrap();
+    assert_eq!(stats.cancelled, 1);
+    assert!(stats.generated < 4000);
+}
+
+#[tokio::test]
+async fn test_engine_load_report_lags() {
+    let settings = EngineSettings {
+        load_lag_ms: 500,
+        ..EngineSettings::default()
+    };
+    let engine = engine(settings).await;
+    let load = async || engine.get::<LoadReport>("/load").await.unwrap();
+    wait_until(async || load().await.at > Timestamp(0)).await;
+    let answer = engine
+        .try_send(Method::POST, PATH, &streamed(PROMPT, 4000))
+        .await;
+    let begun = Instant::now();
+    wait_until(async || load().await.running == 1).await;
+    // The reading that is shown may be older than the lag, never younger.
+    assert!(
+        begun.elapsed() >= Duration::from_millis(400),
+        "{:?}",
+        begun.elapsed()
+    );
+    drop(answer);
+}
+
+#[tokio::test]
+async fn test_engine_cache_events_are_late_and_have_gaps() {
+    let settings = EngineSettings {
+        event_gap: 3,
+        event_lag_ms: 100,
+        cache_blocks: 4,
+        ..EngineSettings::default()
+    };
+    let engine = engine(settings).await;
+    let events = async || {
+        engine
+            .get::<CacheReply>("/cache/events?from=0")
+            .await
+            .unwrap()
+            .events
+    };
+    for (seed, blocks) in [("one", 6), ("two", 2)] {
+        let prompt = generate_text(seed, 16 * blocks);
+        let answer = engine
+            .try_send(Method::POST, PATH, &streamed(&prompt, 1))
+            .await;
+        assert!(read_events(answer.unwrap(), u32::MAX).await.whole);
+    }
+    wait_until(async || events().await.len() == 6).await;
+    let seen = events().await;
+    let numbers: Vec<u64> = seen.iter().map(|e| e.seq).collect();
+    assert_eq!(numbers, [0, 1, 3, 4, 6, 7]);
+    assert_eq!(seen.iter().filter(|e| !e.stored).count(), 2);
+}
+
+#[tokio::test]
+async fn test_engine_loads_weights_from_the_limited_store() {
+    let limited = WeightSettings {
+        per_sec: 4.0,
+        burst: 1.0,
+        fetch_ms: 0,
+        bytes: 8,
+    };
+    let store = start(|listener, stop| run_weights(limited, listener, stop)).await;
+    store.send(Method::GET, "/weights/other", &()).await;
+    let settings = EngineSettings {
+        weights: Some(store.address),
+        ..EngineSettings::default()
+    };
+    let engine = engine(settings).await;
+    let order = json!({"epoch": 1, "version": "v2", "model": "m", "role": "serve"});
+    engine.send(Method::POST, "/orders", &order).await;
+    let stats = async || engine.get::<EngineStats>("/stats").await.unwrap();
+    wait_until(async || stats().await.version == "v2").await;
+    let fetched: WeightStats = store.get("/stats").await.unwrap();
+    assert_eq!(fetched.fetches["m"], 1);
+    assert!(fetched.limited >= 1, "{fetched:?}");
+}
--- a/lab/tests/test_log.rs
+++ b/lab/tests/test_log.rs
@@ -2,6 +2,8 @@
 
 mod testutils;
 
+use std::time::Duration;
+
 use hawthornrack_lab::LogSettings;
 use hawthornrack_lab::run_log;
 use hawthornrack_lib::AppendReply;
@@ -21,6 +23,7 @@
 
 use self::testutils::Server;
 use self::testutils::start;
+use self::testutils::wait_until;
 
 fn append_of(ids: &[u128]) -> AppendRequest {
     let records = ids.iter().map(|id| Envelope {
@@ -142,3 +145,24 @@
     log.control(&json!({"outage": "off"})).await;
     append(&log, &[1]).await.unwrap();
 }
+
+#[tokio::test]
+async fn test_log_keeps_records_by_count_and_by_time() {
+    let log = log().await;
+    log.control(&json!({"keep_records": 2})).await;
+    append(&log, &[1, 2, 3]).await.unwrap();
+    assert_eq!(read(&log, "from=1").await.unwrap().first, Offset(1));
+    log.control(&json!({"keep_ms": 50})).await;
+    wait_until(async || matches!(read(&log, "from=2").await, Err(SendError::Status(410, _)))).await;
+    assert_eq!(append(&log, &[4]).await.unwrap(), Offset(3));
+}
+
+#[tokio::test]
+async fn test_log_silent_outage_ends_for_new_requests() {
+    let log = log().await;
+    log.control(&json!({"outage": "silent"})).await;
+    let silent = tokio::time::timeout(Duration::from_millis(100), append(&log, &[1])).await;
+    assert!(silent.is_err());
+    log.control(&json!({"outage": "off"})).await;
+    assert_eq!(append(&log, &[2]).await.unwrap(), Offset(0));
+}
