--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -8,20 +8,33 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::Endpoint;
+use crate::EvidenceRecorder;
+use crate::EvidenceRow;
+use crate::GateCounts;
 use crate::GateInfo;
 use crate::GatePlugin;
 use crate::GateSettings;
 use crate::HttpClient;
 use crate::Kernel;
+use crate::Reports;
 use crate::Result;
+use crate::RetryBudget;
 use crate::RpcClients;
 use crate::ServerLimits;
 use crate::SharedKey;
+use crate::Timestamp;
 use crate::controller::bind;
 use crate::controller::bound;
 use crate::controller::internal;
+use crate::counters::GateCounters;
+use crate::crash::Crashes;
 use crate::gate_http;
+use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
+use crate::once;
+use crate::once::Once;
+use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
 use crate::rpc_server::serve_rpc;
 use crate::serve;
@@ -29,6 +42,9 @@
 /// Time within which background tasks end at a stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time kept at the end of the drain limit for handing requests over.
+const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+
 /// State of a gate; shared by its subsystems.
 #[derive(Debug)]
 pub struct Gate {
@@ -38,9 +54,23 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    /// What the gate has to report to its controller.
+    pub(crate) reports: Reports,
+    pub(crate) once: Once,
     /// Clients of other processes' RPC ports.
     pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
+    pub(crate) key: SharedKey,
+    pub(crate) budget: RetryBudget,
+    pub(crate) counters: GateCounters,
+    pub(crate) crashes: Crashes,
+    pub(crate) evidence: EvidenceRecorder,
+    pub(crate) handed: HandedStates,
+    pub(crate) transfers: TransferCosts,
+    /// Time at which the gate's own machine ends, once it is under notice.
+    pub(crate) notice: watch::Sender<Option<Timestamp>>,
+    draining: watch::Sender<bool>,
+    changes: watch::Sender<u64>,
     served: watch::Sender<bool>,
 }
 
@@ -68,14 +98,28 @@
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
         };
+        let kernel = Kernel::new(&process, settings.place.node.clone());
+        let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
         let gate = Arc::new(Self {
-            kernel: Kernel::new(&process, settings.place.node.clone()),
+            evidence: EvidenceRecorder::new(kernel.clock),
+            kernel,
             settings,
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            reports,
+            once: Once::default(),
             rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
+            key: key.clone(),
+            budget: RetryBudget::default(),
+            counters: GateCounters::default(),
+            crashes: Crashes::default(),
+            handed: HandedStates::default(),
+            transfers: TransferCosts::default(),
+            notice: watch::Sender::new(None),
+            draining: watch::Sender::new(false),
+            changes: watch::Sender::new(0),
             served: watch::Sender::new(false),
         });
         for plugin in plugins() {
@@ -101,11 +145,46 @@
         self.table.subscribe()
     }
 
-    /// Stops the gate gracefully: refuses new requests and finishes those in progress.
+    /// Returns the readings of the counters.
+    pub fn counts(&self) -> GateCounts {
+        self.counters.read()
+    }
+
+    /// Returns the digests of requests that crashed an endpoint since the last call.
+    pub fn take_crashes(&self) -> Vec<u64> {
+        self.crashes.take_reports()
+    }
+
+    /// Returns how requests went since the last call.
+    pub fn take_evidence(&self) -> Vec<EvidenceRow> {
+        self.evidence.take_rows()
+    }
+
+    /// Returns a receiver that changes whenever what the gate says of itself has changed.
+    pub fn subscribe_changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Stops the gate gracefully.
+    ///
+    /// Tells its controller, serves for a while the callers that have not heard of it, then
+    /// takes no new connection and finishes the requests in progress. Those that would not be
+    /// finished within the drain limit are handed over to other gates.
     pub async fn stop(&self) {
+        self.draining.send_replace(true);
+        self.touch();
+        tokio::time::sleep(self.settings.limits.linger).await;
         self.kernel.stopping.cancel();
+        let drain = self.settings.limits.drain;
+        let last = drain.saturating_sub(HAND_OVER_TIME);
+        let mut served = self.served.subscribe();
+        let done = tokio::time::timeout(last, served.wait_for(|done| *done)).await;
+        if done.is_err() {
+            self.leave(self.kernel.clock.now());
+        }
         let mut served = self.served.subscribe();
         let _ = served.wait_for(|done| *done).await;
+        once::drain(self, self.settings.limits.drain).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
@@ -114,11 +193,35 @@
         GateInfo {
             callers: self.settings.advertise.unwrap_or(self.addrs.callers),
             rpc: self.settings.rpc_advertise.unwrap_or(self.addrs.rpc),
-            accepting: !self.kernel.stopping.is_cancelled(),
+            accepting: !self.is_draining() && self.notice.borrow().is_none(),
             load: self.in_flight.load(self.settings.limits.requests),
         }
     }
 
+    /// Takes no new requests from now on, and hands those in progress over.
+    pub(crate) fn leave(&self, deadline: Timestamp) {
+        self.kernel
+            .events
+            .record("gate.leaving", &[("deadline", &deadline.0)]);
+        self.notice.send_replace(Some(deadline));
+        self.touch();
+    }
+
+    /// Tells whether the gate is being stopped.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Returns the time at which an endpoint's machine ends, if it is under notice.
+    pub(crate) fn leaving(&self, endpoint: &Endpoint) -> Option<Timestamp> {
+        let table = self.table.borrow();
+        table.as_ref()?.live.leaving.get(&endpoint.vm).copied()
+    }
+
+    fn touch(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     fn serve_rpc(self: &Arc<Self>, listener: TcpListener, key: SharedKey) -> Result<()> {
         let mut methods = Methods::new();
         for plugin in plugins() {
