--- /dev/null
+++ b/lib/src/gate_rpc.rs
@@ -0,0 +1,56 @@
+//! The RPC between gates.
+
+use std::sync::Arc;
+
+use jsonrpsee::Methods;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::Gate;
+use crate::GateCounts;
+use crate::GatePlugin;
+use crate::Stage;
+use crate::StreamState;
+
+/// Calls of gates on a gate.
+#[rpc(client, server, namespace = "gate")]
+pub trait GateRpc {
+    /// Takes requests over, for whose callers the sender names this gate.
+    #[method(name = "hand_over")]
+    async fn hand_over(&self, states: Vec<StreamState>) -> RpcResult<()>;
+
+    /// Returns the gate's counters.
+    #[method(name = "counts")]
+    async fn counts(&self) -> RpcResult<GateCounts>;
+}
+
+inventory::submit! {
+    GatePlugin {
+        name: "gate_rpc",
+        stage: Stage::Listen,
+        start: |_| Ok(()),
+        methods: Some(|gate| Methods::from(GateService(Arc::clone(gate)).into_rpc())),
+    }
+}
+
+struct GateService(Arc<Gate>);
+
+#[async_trait]
+impl GateRpcServer for GateService {
+    async fn hand_over(&self, states: Vec<StreamState>) -> RpcResult<()> {
+        let now = self.0.kernel.clock.now();
+        for state in states {
+            self.0
+                .kernel
+                .events
+                .record("request.taken_over", &[("request", &state.token.request)]);
+            self.0.handed.put(state, now);
+        }
+        Ok(())
+    }
+
+    async fn counts(&self) -> RpcResult<GateCounts> {
+        Ok(self.0.counters.read())
+    }
+}
