--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -27,6 +27,8 @@
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
 use crate::gossip_rpc::announce_leave;
+use crate::lease_keeper;
+use crate::lease_keeper::LeaseStore;
 use crate::live_store::LiveStore;
 use crate::operator_access::serve_operators;
 use crate::rpc_server::serve_rpc;
@@ -47,6 +49,7 @@
     pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
     pub(crate) contact: Contact,
+    pub(crate) leases: LeaseStore,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
     /// Clients of other processes' RPC ports.
@@ -100,6 +103,7 @@
             claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
             contact: Contact::new(),
+            leases: LeaseStore::new(),
             live,
             log,
             rpc: RpcClients::new(key.clone()),
@@ -138,8 +142,8 @@
     /// Stops the controller gracefully: tells its peers, then ends.
     pub async fn stop(&self) {
         self.kernel.stopping.cancel();
-        let announced = announce_leave(self);
-        let _ = tokio::time::timeout(ANNOUNCE_LIMIT, announced).await;
+        let told = async { tokio::join!(announce_leave(self), lease_keeper::release_all(self)) };
+        let _ = tokio::time::timeout(ANNOUNCE_LIMIT, told).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
--- /dev/null
+++ b/lib/src/lease_keeper.rs
@@ -0,0 +1,322 @@
+//! Takes, renews and gives up the leases on this deployment's duties.
+//!
+//! The holder counts its term from before it asked the log, on its own clock, and acts only
+//! until the term's end less a margin. Source: Gray and Cheriton, "Leases", 1989.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::Body;
+use crate::Controller;
+use crate::ControllerPlugin;
+use crate::Duty;
+use crate::Epoch;
+use crate::Lease;
+use crate::LeaseChange;
+use crate::LeaseState;
+use crate::LeaseStep;
+use crate::LeaseView;
+use crate::MemberState;
+use crate::NodeName;
+use crate::Offset;
+use crate::RecordId;
+use crate::Result;
+use crate::Service;
+use crate::Stage;
+use crate::Stream;
+use crate::decide_lease;
+use crate::fold_store::Fold;
+use crate::fold_store::FoldStore;
+use crate::rank_nodes;
+use crate::stream_tail;
+
+/// Members that may take a lease.
+const CANDIDATES: usize = 3;
+
+/// Requests to the log remembered for one lease.
+const ASKED_KEPT: usize = 32;
+
+/// Time between two looks at the leases.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time within which an endpoint must have answered an order; a later one is not in flight.
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
+
+inventory::submit! {
+    ControllerPlugin {
+        name: "lease-keeper",
+        stage: Stage::Duty,
+        start,
+        methods: None,
+    }
+}
+
+/// What this process knows of one duty beyond the fold; times are by its own clock.
+#[derive(Clone, Debug)]
+struct Watched {
+    /// Newest record of the lease, and when it was seen.
+    last: Option<Offset>,
+    seen: Instant,
+    /// Records that this process asked the log for, and when; the newest last.
+    asked: Vec<(RecordId, Instant)>,
+    /// Lease granted to this process, and the time until which it may act.
+    held: Option<(Epoch, Instant)>,
+    /// Whether the end of the present term has been recorded.
+    lapsed: bool,
+}
+
+/// Leases at this node.
+#[derive(Debug)]
+pub(crate) struct LeaseStore {
+    fold: FoldStore<LeaseState>,
+    watched: Mutex<IndexMap<Duty, Watched>>,
+}
+
+impl LeaseStore {
+    pub(crate) fn new() -> Self {
+        Self {
+            fold: FoldStore::new(Fold {
+                apply: LeaseState::apply,
+                after_gap: LeaseState::default,
+                is_whole: |_| true,
+            }),
+            watched: Mutex::default(),
+        }
+    }
+
+    /// Returns the epoch under which this node may act on a duty now, if it may.
+    pub(crate) fn may_act(&self, duty: &Duty) -> Option<Epoch> {
+        self.may_act_for(duty, Duration::ZERO)
+    }
+
+    /// Returns the epoch under which this node may act on a duty for a while from now on.
+    pub(crate) fn may_act_for(&self, duty: &Duty, span: Duration) -> Option<Epoch> {
+        let watched = self.watched.lock();
+        let (epoch, until) = watched.get(duty)?.held?;
+        (Instant::now() + span < until).then_some(epoch)
+    }
+
+    /// Returns the node that the newest record on a duty was granted to.
+    pub(crate) fn holder(&self, duty: &Duty) -> Option<NodeName> {
+        self.fold.with(|state| {
+            let lease = state.get(duty).filter(|l| !l.released);
+            lease.map(|l| l.holder.clone())
+        })
+    }
+}
+
+impl Watched {
+    fn new(now: Instant) -> Self {
+        Self {
+            last: None,
+            seen: now,
+            asked: Vec::new(),
+            held: None,
+            lapsed: false,
+        }
+    }
+
+    /// Takes note of the lease's newest record.
+    fn look(&mut self, lease: Option<&Lease>, margin: Duration, now: Instant) -> Option<Epoch> {
+        let last = lease.map(|l| l.last);
+        if last == self.last {
+            return None;
+        }
+        self.last = last;
+        self.seen = now;
+        let before = self.held.map(|(epoch, _)| epoch);
+        self.held = lease.and_then(|l| self.granted(l, margin));
+        self.lapsed = false;
+        let held = self.held.map(|(epoch, _)| epoch);
+        held.filter(|_| held != before)
+    }
+
+    fn ask(&mut self, id: RecordId, now: Instant) {
+        if self.asked.len() == ASKED_KEPT {
+            self.asked.remove(0);
+        }
+        self.asked.push((id, now));
+    }
+
+    /// Returns the epoch and the end of the time to act when this process asked for the
+    /// lease's newest record.
+    fn granted(&mut self, lease: &Lease, margin: Duration) -> Option<(Epoch, Instant)> {
+        let index = self.asked.iter().position(|(id, _)| *id == lease.record)?;
+        let (_, at) = self.asked[index];
+        self.asked.drain(..index);
+        (!lease.released).then(|| (lease.epoch, at + lease.term.saturating_sub(margin)))
+    }
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "the registry's signature")]
+fn start(controller: &Arc<Controller>) -> Result<()> {
+    let tail = Arc::clone(controller);
+    controller.kernel.spawn(async move {
+        stream_tail::follow(&tail, Stream::Leases, &tail.leases.fold).await;
+    });
+    let keeper = Arc::clone(controller);
+    controller.kernel.spawn(async move { keep(&keeper).await });
+    Ok(())
+}
+
+async fn keep(controller: &Arc<Controller>) {
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let Some(config) = controller.config() else {
+            continue;
+        };
+        if !controller.leases.fold.is_caught_up() || controller.kernel.stopping.is_cancelled() {
+            continue;
+        }
+        let services = config.services.values().map(|s| &s.value);
+        for service in services {
+            look_at(controller, service);
+        }
+        let mut watched = controller.leases.watched.lock();
+        watched.retain(|Duty::Service(name), _| config.services.contains_key(name));
+    }
+}
+
+/// Takes note of a service's lease and does what is to be done about it.
+fn look_at(controller: &Arc<Controller>, service: &Service) {
+    let duty = Duty::Service(service.name.clone());
+    let control = controller.settings.control;
+    let (lease, next) = controller
+        .leases
+        .fold
+        .with_next(|state, next| (state.get(&duty).cloned(), next));
+    let now = Instant::now();
+    let rank = own_rank(controller, &duty);
+    let mut guard = controller.leases.watched.lock();
+    let watched = guard
+        .entry(duty.clone())
+        .or_insert_with(|| Watched::new(now));
+    let acquired = watched.look(lease.as_ref(), control.margin, now);
+    let lapsed = watched.held.filter(|(_, until)| now >= *until);
+    let is_news = lapsed.is_some() && !watched.lapsed;
+    watched.lapsed |= lapsed.is_some();
+    let in_flight = if service.fenced {
+        Duration::ZERO
+    } else {
+        ORDER_TIMEOUT
+    };
+    let step = decide_lease(&LeaseView {
+        lease: lease.as_ref(),
+        is_own: watched.held.is_some(),
+        seen: now - watched.seen,
+        asked: watched.asked.last().map(|(_, at)| now - *at),
+        rank,
+        is_leaving: is_leaving(controller),
+        term: control.term,
+        margin: control.margin,
+        in_flight,
+    });
+    drop(guard);
+    if let Some(epoch) = acquired {
+        record(controller, "lease.acquired", &duty, epoch);
+    }
+    if let Some((epoch, _)) = lapsed.filter(|_| is_news) {
+        record(controller, "lease.lapsed", &duty, epoch);
+    }
+    take_step(controller, duty, step, next);
+}
+
+fn record(controller: &Controller, what: &str, duty: &Duty, epoch: Epoch) {
+    let Duty::Service(service) = duty;
+    controller
+        .kernel
+        .events
+        .record(what, &[("service", service), ("epoch", &epoch)]);
+}
+
+/// Returns this node's place among the candidates for a duty.
+fn own_rank(controller: &Controller, duty: &Duty) -> Option<u32> {
+    let Duty::Service(service) = duty;
+    let live = controller.live();
+    let usable = live.members.values().filter(|m| {
+        let stays = matches!(m.state, MemberState::Alive | MemberState::Suspect);
+        stays || m.node == controller.kernel.node && m.state != MemberState::Leaving
+    });
+    let ranked = rank_nodes(&format!("lease/{service}"), usable.map(|m| &m.node));
+    let place = ranked
+        .into_iter()
+        .take(CANDIDATES)
+        .position(|node| *node == controller.kernel.node)?;
+    u32::try_from(place).ok()
+}
+
+fn is_leaving(controller: &Controller) -> bool {
+    let live = controller.live();
+    let own = live.members.get(&controller.kernel.node);
+    own.is_some_and(|m| m.state == MemberState::Leaving)
+}
+
+fn take_step(controller: &Arc<Controller>, duty: Duty, step: LeaseStep, next: Offset) {
+    let term = controller.settings.control.term;
+    let change = match step {
+        LeaseStep::Wait => return,
+        LeaseStep::Acquire => LeaseChange::Acquire {
+            duty: duty.clone(),
+            as_of: next,
+            term,
+        },
+        LeaseStep::Release(epoch) => LeaseChange::Release {
+            duty: duty.clone(),
+            epoch,
+        },
+        LeaseStep::Renew(epoch) => LeaseChange::Renew {
+            duty: duty.clone(),
+            epoch,
+            term,
+        },
+    };
+    let envelope = controller.envelope(Body::Lease(change));
+    if let Some(watched) = controller.leases.watched.lock().get_mut(&duty) {
+        // The term counts from before the log is asked.
+        watched.ask(envelope.id, Instant::now());
+        if matches!(step, LeaseStep::Release(_)) {
+            watched.held = None;
+        }
+    }
+    let task = Arc::clone(controller);
+    controller.kernel.spawn(async move {
+        let appended = task.log.append(Stream::Leases, vec![envelope]).await;
+        if let (Err(error), LeaseStep::Renew(epoch)) = (appended, step) {
+            tracing::warn!(%error, "renewing a lease failed");
+            record(&task, "lease.renew_failed", &duty, epoch);
+        }
+    });
+}
+
+/// Stops acting on all duties and gives their leases up, ahead of a graceful stop.
+pub(crate) async fn release_all(controller: &Controller) {
+    let held: Vec<(Duty, Epoch)> = {
+        let mut watched = controller.leases.watched.lock();
+        let held = watched.iter_mut();
+        held.filter_map(|(duty, w)| Some((duty.clone(), w.held.take()?.0)))
+            .collect()
+    };
+    if held.is_empty() {
+        return;
+    }
+    let records = held
+        .iter()
+        .map(|(duty, epoch)| {
+            let duty = duty.clone();
+            let epoch = *epoch;
+            controller.envelope(Body::Lease(LeaseChange::Release { duty, epoch }))
+        })
+        .collect();
+    match controller.log.append(Stream::Leases, records).await {
+        Ok(_) => {
+            for (duty, epoch) in &held {
+                record(controller, "lease.released", duty, *epoch);
+            }
+        }
+        Err(error) => tracing::warn!(%error, "giving the leases up failed"),
+    }
+}
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -194,12 +194,12 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "change")]
 pub enum LeaseChange {
-    /// Asks for the lease; granted when `previous` is still the newest epoch.
+    /// Asks for the lease; granted when the candidate had read every record about the duty.
     Acquire {
         /// What the lease is held for.
         duty: Duty,
-        /// Epoch that the candidate saw lapse or released; `None` when there was none.
-        previous: Option<Epoch>,
+        /// Offset of the first record that the candidate had not read.
+        as_of: Offset,
         /// Length of the term.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         term: Duration,
