--- a/lib/src/fact_store.rs
+++ b/lib/src/fact_store.rs
@@ -218,14 +218,12 @@
     }
 
     fn merge_plain(&mut self, key: &FactKey, fact: Fact) -> bool {
-        match self.facts.get_mut(key) {
-            Some(known) => known.merge(fact),
-            None => {
-                self.crashes += usize::from(matches!(fact, Fact::Crash(_)));
-                self.facts.insert(key.clone(), fact);
-                true
-            }
+        if let Some(known) = self.facts.get_mut(key) {
+            return known.merge(fact);
         }
+        self.crashes += usize::from(matches!(fact, Fact::Crash(_)));
+        self.facts.insert(key.clone(), fact);
+        true
     }
 
     /// Merges evidence and raises the sum over all processes by what is new.
--- a/lib/src/lease_keeper.rs
+++ b/lib/src/lease_keeper.rs
@@ -21,7 +21,6 @@
 use crate::LeaseStep;
 use crate::LeaseView;
 use crate::MemberState;
-use crate::NodeName;
 use crate::Offset;
 use crate::RecordId;
 use crate::Result;
@@ -99,14 +98,6 @@
         let (epoch, until) = watched.get(duty)?.held?;
         (Instant::now() + span < until).then_some(epoch)
     }
-
-    /// Returns the node that the newest record on a duty was granted to.
-    pub(crate) fn holder(&self, duty: &Duty) -> Option<NodeName> {
-        self.fold.with(|state| {
-            let lease = state.get(duty).filter(|l| !l.released);
-            lease.map(|l| l.holder.clone())
-        })
-    }
 }
 
 impl Watched {
@@ -234,7 +225,7 @@
 }
 
 /// Returns this node's place among the candidates for a duty.
-fn own_rank(controller: &Controller, duty: &Duty) -> Option<u32> {
+pub(crate) fn own_rank(controller: &Controller, duty: &Duty) -> Option<u32> {
     let Duty::Service(service) = duty;
     let live = controller.live();
     let usable = live.members.values().filter(|m| {
--- a/lib/src/live_store.rs
+++ b/lib/src/live_store.rs
@@ -21,8 +21,6 @@
 use crate::MemberState;
 use crate::MoveName;
 use crate::NodeName;
-use crate::Stop;
-use crate::StopFact;
 use crate::Timestamp;
 use crate::VmName;
 
@@ -98,11 +96,6 @@
         self.merge(vec![Fact::Leaving(LeavingFact { vm, deadline })]);
     }
 
-    /// Records that a move's new version is stopped; a stop is never taken back.
-    pub(crate) fn mark_stopped(&self, name: MoveName, stop: Stop) {
-        self.merge(vec![Fact::Stop(StopFact { name, stop })]);
-    }
-
     /// Records that the link of a gate to this node has ended.
     pub(crate) fn detach_gate(&self, gate: &NodeName, own: &NodeName, now: Timestamp) {
         let known = match self.inner.lock().facts.get(&FactKey::Gate(gate.clone())) {
