--- /dev/null
+++ b/programs/tests/testutils/gates.rs
@@ -0,0 +1,350 @@
+//! Gates as processes, with a routing table that the test sets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornrack_lib::ConfigState;
+use hawthornrack_lib::Customer;
+use hawthornrack_lib::CustomerName;
+use hawthornrack_lib::Endpoint;
+use hawthornrack_lib::EndpointName;
+use hawthornrack_lib::GateCounts;
+use hawthornrack_lib::GateInfo;
+use hawthornrack_lib::GateRpcClient;
+use hawthornrack_lib::KeySupport;
+use hawthornrack_lib::Member;
+use hawthornrack_lib::MemberState;
+use hawthornrack_lib::Offset;
+use hawthornrack_lib::Priority;
+use hawthornrack_lib::Route;
+use hawthornrack_lib::RpcClients;
+use hawthornrack_lib::Service;
+use hawthornrack_lib::ServiceKind;
+use hawthornrack_lib::ServiceName;
+use hawthornrack_lib::SharedKey;
+use hawthornrack_lib::TableUpdate;
+use hawthornrack_lib::Timestamp;
+use hawthornrack_lib::Version;
+use hawthornrack_lib::VersionName;
+use hawthornrack_lib::Versioned;
+use hawthornrack_lib::VmName;
+use hawthornrack_lib::millis;
+use hawthornrack_lib::token_hash;
+use hyper::Method;
+use indexmap::IndexMap;
+use jsonrpsee::RpcModule;
+use jsonrpsee::SubscriptionMessage;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerHandle;
+use tempfile::NamedTempFile;
+use tokio::sync::watch;
+
+use super::Call;
+use super::Http;
+use super::LIMIT;
+use super::Process;
+use super::settings_file;
+use super::wait_until;
+
+/// Bearer token of the customer `lakeside`.
+pub const TOKEN: &str = "lakeside-token";
+
+/// Bearer token of the customer `harbour`.
+pub const OTHER_TOKEN: &str = "harbour-token";
+
+/// Program under test.
+const GATE: &str = env!("CARGO_BIN_EXE_hawthorn-gate");
+
+/// Key that the processes of a test share.
+const KEY: &str = "a key that only this test uses";
+
+/// Time between two tables when nothing changes.
+const REPEAT: Duration = Duration::from_millis(500);
+
+/// Gates that read the table that the test sets.
+pub struct Site {
+    /// The gates.
+    pub gates: Vec<Process>,
+    /// HTTP client of the test.
+    pub http: Http,
+    table: watch::Sender<TableUpdate>,
+    controller: SocketAddr,
+    secret: NamedTempFile,
+    settings: Vec<NamedTempFile>,
+    rpc: RpcClients,
+    _server: ServerHandle,
+}
+
+impl Site {
+    /// Starts a table server with two services, `tutor` (model) and `booking` (plain).
+    pub async fn start() -> Self {
+        let (table, receiver) = watch::channel(first_table());
+        let (controller, server) = serve_table(receiver).await;
+        Self {
+            gates: Vec::new(),
+            http: Http::new(),
+            table,
+            controller,
+            secret: settings_file(KEY),
+            settings: Vec::new(),
+            rpc: RpcClients::new(SharedKey::new(KEY).unwrap()),
+            _server: server,
+        }
+    }
+
+    /// Starts a gate on a VM of its own, in the failure domain `domain`, and waits until it
+    /// serves.
+    pub async fn add_gate(&mut self, domain: &str) -> SocketAddr {
+        self.add_gate_with(domain, "").await
+    }
+
+    /// Starts a gate with lines of TOML for its limits.
+    pub async fn add_gate_with(&mut self, domain: &str, limits: &str) -> SocketAddr {
+        let number = self.gates.len() + 1;
+        let text = format!(
+            "listen = '127.0.0.1:0'\nrpc = '127.0.0.1:0'\nops = '127.0.0.1:0'\n\
+             controllers = ['{}']\nsecret_file = '{}'\n\
+             [place]\nnode = 'n{number}'\nvm = 'gate-vm{number}'\ndomain = '{domain}'\n\
+             region = 'r1'\n[limits]\n{limits}\n",
+            self.controller,
+            self.secret.path().display(),
+        );
+        let file = settings_file(&text);
+        let path = file.path().display().to_string();
+        let gate = Process::start(GATE, &["--settings", &path], &[("HAWTHORN_LOG", "debug")]);
+        let callers = gate.address("callers");
+        let member = Member {
+            node: format!("n{number}").parse().unwrap(),
+            domain: domain.parse().unwrap(),
+            region: "r1".parse().unwrap(),
+            controller: self.controller,
+            gate: Some(GateInfo {
+                callers,
+                rpc: gate.address("rpc"),
+                accepting: true,
+                load: 0,
+            }),
+            state: MemberState::Alive,
+        };
+        self.settings.push(file);
+        self.gates.push(gate);
+        self.change(|t| {
+            t.live.members.insert(member.node.clone(), member);
+        });
+        wait_until("the gate has a table", LIMIT, async || {
+            self.knows_members(callers, number).await
+        })
+        .await;
+        callers
+    }
+
+    async fn knows_members(&self, gate: SocketAddr, count: usize) -> bool {
+        let call = Call::new(Method::GET, "/v1/entries").bearer(TOKEN);
+        let answer = self.http.send(gate, call).await;
+        answer.is_ok_and(|a| a.json()["entries"].as_array().map_or(0, Vec::len) == count)
+    }
+
+    /// Declares an endpoint of version `v1`.
+    pub fn add_endpoint(&self, service: &str, name: &str, address: SocketAddr) {
+        self.add_version_endpoint(service, "v1", name, address);
+    }
+
+    /// Declares an endpoint.
+    pub fn add_version_endpoint(
+        &self,
+        service: &str,
+        version: &str,
+        name: &str,
+        address: SocketAddr,
+    ) {
+        let endpoint = Endpoint {
+            name: name.parse().unwrap(),
+            service: service.parse().unwrap(),
+            version: version.parse().unwrap(),
+            address,
+            vm: format!("vm-{name}").parse().unwrap(),
+            domain: "d1".parse().unwrap(),
+        };
+        self.change_config(|config| {
+            config
+                .endpoints
+                .insert(endpoint.name.clone(), versioned(endpoint));
+        });
+    }
+
+    /// Takes an endpoint's declaration back.
+    pub fn remove_endpoint(&self, name: &str) {
+        let name: EndpointName = name.parse().unwrap();
+        self.change_config(|config| {
+            config.endpoints.shift_remove(&name);
+        });
+    }
+
+    /// Puts an endpoint's machine under notice.
+    pub fn reclaim_endpoint(&self, name: &str, notice: Duration) {
+        self.reclaim(&format!("vm-{name}"), notice);
+    }
+
+    /// Puts the machine of the gate with this index under notice.
+    pub fn reclaim_gate(&self, index: usize, notice: Duration) {
+        self.reclaim(&format!("gate-vm{}", index + 1), notice);
+    }
+
+    /// Puts several machines under notice at once.
+    pub fn reclaim_all(&self, endpoints: &[&str], gates: &[usize], notice: Duration) {
+        let deadline = now().plus(notice);
+        let vms = endpoints.iter().map(|name| format!("vm-{name}"));
+        let vms = vms.chain(gates.iter().map(|index| format!("gate-vm{}", index + 1)));
+        let vms: Vec<VmName> = vms.map(|vm| vm.parse().unwrap()).collect();
+        self.change(|t| {
+            t.live
+                .leaving
+                .extend(vms.into_iter().map(|vm| (vm, deadline)));
+        });
+    }
+
+    /// Changes the table.
+    pub fn change(&self, update: impl FnOnce(&mut TableUpdate)) {
+        self.table.send_modify(update);
+    }
+
+    /// Returns a gate's counters.
+    pub async fn counts(&self, index: usize) -> GateCounts {
+        let rpc = self.gates[index].address("rpc");
+        let call = self
+            .rpc
+            .call(rpc, LIMIT, |client| async move { client.counts().await });
+        call.await.unwrap()
+    }
+
+    /// Waits until `condition` holds for a gate's counters.
+    pub async fn wait_counts(
+        &self,
+        index: usize,
+        what: &str,
+        condition: impl Fn(&GateCounts) -> bool,
+    ) {
+        wait_until(what, LIMIT, async || condition(&self.counts(index).await)).await;
+    }
+
+    fn reclaim(&self, vm: &str, notice: Duration) {
+        let vm: VmName = vm.parse().unwrap();
+        let deadline = now().plus(notice);
+        self.change(|t| {
+            t.live.leaving.insert(vm, deadline);
+        });
+    }
+
+    fn change_config(&self, update: impl FnOnce(&mut ConfigState)) {
+        self.change(|t| {
+            let mut config = t.config.as_deref().cloned().unwrap_or_default();
+            update(&mut config);
+            config.next = config.next.next();
+            t.offset = config.next;
+            t.config = Some(Arc::new(config));
+        });
+    }
+}
+
+fn now() -> Timestamp {
+    let wall = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap();
+    Timestamp(millis(wall))
+}
+
+fn versioned<T>(value: T) -> Versioned<T> {
+    Versioned {
+        revision: Offset(0),
+        value,
+    }
+}
+
+fn first_table() -> TableUpdate {
+    let mut config = ConfigState {
+        next: Offset(1),
+        ..ConfigState::default()
+    };
+    for (name, token) in [("lakeside", TOKEN), ("harbour", OTHER_TOKEN)] {
+        let name: CustomerName = name.parse().unwrap();
+        let customer = Customer {
+            name: name.clone(),
+            tokens: vec![token_hash(token)],
+            weight: 1,
+        };
+        config.customers.insert(name, versioned(customer));
+    }
+    for (name, kind) in [
+        ("tutor", ServiceKind::Model),
+        ("booking", ServiceKind::Plain),
+    ] {
+        let name: ServiceName = name.parse().unwrap();
+        let service = service(name.clone(), kind);
+        config.services.insert(name, versioned(service));
+    }
+    TableUpdate {
+        offset: config.next,
+        config: Some(Arc::new(config)),
+        live: hawthornrack_lib::LiveView::default(),
+    }
+}
+
+fn service(name: ServiceName, kind: ServiceKind) -> Service {
+    let route = |prefix: &str, repeatable: bool, timeout: u64| Route {
+        prefix: prefix.to_owned(),
+        repeatable,
+        priority: Priority::Interactive,
+        timeout: Duration::from_secs(timeout),
+    };
+    let version = |share: u32| Version {
+        model: String::from("model"),
+        share,
+    };
+    let versions: IndexMap<VersionName, Version> = IndexMap::from_iter([
+        ("v1".parse().unwrap(), version(1000)),
+        ("v2".parse().unwrap(), version(0)),
+    ]);
+    Service {
+        name,
+        kind,
+        versions,
+        routes: vec![
+            route("v1/", true, 30),
+            route("stock", true, 10),
+            route("quick", true, 2),
+            route("book", false, 10),
+        ],
+        keys: KeySupport::Ignored,
+        fenced: true,
+        target: Duration::from_secs(1),
+        replicas: 0,
+    }
+}
+
+async fn serve_table(table: watch::Receiver<TableUpdate>) -> (SocketAddr, ServerHandle) {
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    let mut module = RpcModule::new(table);
+    module
+        .register_subscription(
+            "table_subscribe",
+            "table_update",
+            "table_unsubscribe",
+            |_params, pending, table, _extensions| async move {
+                let sink = pending.accept().await?;
+                let mut table = watch::Receiver::clone(&table);
+                while !sink.is_closed() {
+                    let update = table.borrow_and_update().clone();
+                    let raw = serde_json::value::to_raw_value(&update)?;
+                    if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
+                        break;
+                    }
+                    let _ = tokio::time::timeout(REPEAT, table.changed()).await;
+                }
+                Ok(())
+            },
+        )
+        .unwrap();
+    (address, server.start(module))
+}
--- a/programs/tests/testutils/mod.rs
+++ b/programs/tests/testutils/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the process tests: processes, the proxy, HTTP and waiting.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod gates;
+
 use std::collections::HashMap;
 use std::io::BufRead;
 use std::io::BufReader;
