--- a/lib/src/gate_rpc.rs
+++ b/lib/src/gate_rpc.rs
@@ -10,6 +10,7 @@
 use crate::Gate;
 use crate::GateCounts;
 use crate::GatePlugin;
+use crate::Offset;
 use crate::Stage;
 use crate::StreamState;
 
@@ -23,6 +24,10 @@
     /// Returns the gate's counters.
     #[method(name = "counts")]
     async fn counts(&self) -> RpcResult<GateCounts>;
+
+    /// Returns the offset of the configuration in force at the gate.
+    #[method(name = "offset")]
+    async fn offset(&self) -> RpcResult<Option<Offset>>;
 }
 
 inventory::submit! {
@@ -53,4 +58,8 @@
     async fn counts(&self) -> RpcResult<GateCounts> {
         Ok(self.0.counters.read())
     }
+
+    async fn offset(&self) -> RpcResult<Option<Offset>> {
+        Ok(self.0.table().map(|t| t.config.next))
+    }
 }
--- a/lib/src/stream_open.rs
+++ b/lib/src/stream_open.rs
@@ -56,7 +56,12 @@
     ///
     /// Returns whether a stream was opened; otherwise the caller has been answered.
     pub(crate) async fn open(&mut self) -> Result<bool> {
-        let Some(text) = self.text.whole() else {
+        // A new generation may differ from the one that the caller has begun to read.
+        let known = self
+            .text
+            .whole()
+            .filter(|_| self.text.position() >= self.shown);
+        let Some(text) = known else {
             let detail = "the engine lost the stream; resume again with resume_text";
             return Err(Error::new(ErrorKind::EndpointFailed, detail));
         };
--- a/programs/tests/test_reclaim.rs
+++ b/programs/tests/test_reclaim.rs
@@ -7,63 +7,19 @@
 use hawthornrack_lab::EngineStats;
 use hawthornrack_lab::LinkMode;
 use hawthornrack_lab::generate_text;
-use hawthornrack_lib::DONE;
 use rstest::rstest;
-use serde_json::json;
 
-use self::testutils::Call;
-use self::testutils::EventStream;
 use self::testutils::LIMIT;
 use self::testutils::Process;
 use self::testutils::Proxy;
 use self::testutils::gates::Site;
-use self::testutils::gates::TOKEN;
-
-/// Path of completions at a gate.
-const PATH: &str = "/tutor/v1/completions";
+use self::testutils::tokens::read_rest;
+use self::testutils::tokens::read_tokens;
+use self::testutils::tokens::request;
 
 /// Settings of engines with 10 ms a token.
 const SLOW: &[&str] = &["token_us=10_000"];
 
-fn request(prompt: &str, tokens: u32, stream: bool) -> Call {
-    let body = json!({"prompt": prompt, "max_tokens": tokens, "stream": stream});
-    Call::post(PATH, &body).bearer(TOKEN)
-}
-
-/// Reads `count` tokens and returns their text.
-async fn read_tokens(stream: &mut EventStream, count: u32) -> String {
-    let mut text = String::new();
-    let mut read = 0;
-    while read < count {
-        let event = stream.next(LIMIT).await.expect("the stream goes on");
-        assert_ne!(event.event, "error", "{}", event.data);
-        if !event.id.is_empty() {
-            read += 1;
-            assert_eq!(event.id, read.to_string(), "no gap and no repeat");
-            text.push_str(&event.text());
-        }
-    }
-    text
-}
-
-/// Reads the rest of a stream after `position`, checking each position.
-async fn read_rest(stream: &mut EventStream, position: u32) -> String {
-    let mut text = String::new();
-    let mut read = position;
-    loop {
-        let event = stream.next(LIMIT).await.expect("the stream ends whole");
-        assert_ne!(event.event, "error", "{}", event.data);
-        if event.data == DONE {
-            return text;
-        }
-        if !event.id.is_empty() {
-            read += 1;
-            assert_eq!(event.id, read.to_string(), "no gap and no repeat");
-            text.push_str(&event.text());
-        }
-    }
-}
-
 async fn stats(site: &Site, engine: &Process) -> EngineStats {
     site.http.get(engine.http(), "/stats").await
 }
@@ -72,7 +28,7 @@
 async fn test_reclaim_stream_passes_a_gate_whole() {
     let mut site = Site::start().await;
     let engine = Process::lab("engine", &[]);
-    site.add_endpoint("tutor", "e1", engine.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
     let gate = site.add_gate("d1").await;
     let mut stream = site
         .http
@@ -106,7 +62,7 @@
     let engine = Process::lab("engine", SLOW);
     let proxy = Proxy::start();
     let address = proxy.link("engine", Some(engine.http())).await;
-    site.add_endpoint("tutor", "e1", address);
+    site.add_endpoint("tutor", "e1", address).await;
     let gate = site.add_gate_with("d1", "progress = 500").await;
     let mut stream = site
         .http
@@ -128,7 +84,7 @@
 async fn test_reclaim_dead_engine_is_continued_elsewhere(#[case] streamed: bool) {
     let mut site = Site::start().await;
     let mut engine = Process::lab("engine", SLOW);
-    site.add_endpoint("tutor", "e1", engine.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
     let gate = site.add_gate("d1").await;
     let http = site.http.clone();
     let call = request("a b", 100, streamed);
@@ -148,7 +104,7 @@
     })
     .await;
     let other = Process::lab("engine", SLOW);
-    site.add_endpoint("tutor", "e2", other.http());
+    site.add_endpoint("tutor", "e2", other.http()).await;
     engine.kill();
     assert_eq!(reader.await.unwrap(), generate_text("a b", 100));
     let counts = site.counts(0).await;
@@ -170,7 +126,7 @@
     let mut site = Site::start().await;
     let mut engine = Process::lab("engine", SLOW);
     let other = Process::lab("engine", &["token_us=2_000"]);
-    site.add_endpoint("tutor", "e1", engine.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
     let gate = site.add_gate("d1").await;
     let mut stream = site
         .http
@@ -178,7 +134,7 @@
         .await
         .unwrap();
     let begin = read_tokens(&mut stream, 10).await;
-    site.add_endpoint("tutor", "e2", other.http());
+    site.add_endpoint("tutor", "e2", other.http()).await;
     let notice = Duration::from_millis(notice_ms);
     site.reclaim_endpoint("e1", notice);
     let end = async {
@@ -203,8 +159,8 @@
     let mut site = Site::start().await;
     let engine = Process::lab("engine", &[]);
     let other = Process::lab("engine", &[]);
-    site.add_endpoint("tutor", "e1", engine.http());
-    site.add_endpoint("tutor", "e2", other.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
+    site.add_endpoint("tutor", "e2", other.http()).await;
     let gate = site.add_gate("d1").await;
     site.reclaim_endpoint("e1", Duration::from_secs(60));
     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -221,7 +177,7 @@
 async fn test_reclaim_caller_gone_cancels_the_engine() {
     let mut site = Site::start().await;
     let engine = Process::lab("engine", &["token_us=10_000", "grace_ms=20_000"]);
-    site.add_endpoint("tutor", "e1", engine.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
     let gate = site.add_gate("d1").await;
     let mut stream = site
         .http
@@ -240,7 +196,7 @@
 async fn test_reclaim_heartbeats_while_silent() {
     let mut site = Site::start().await;
     let engine = Process::lab("engine", &["token_us=1_600_000"]);
-    site.add_endpoint("tutor", "e1", engine.http());
+    site.add_endpoint("tutor", "e1", engine.http()).await;
     let gate = site.add_gate("d1").await;
     let call = request("a b", 2, true);
     let answer = site.http.send(gate, call).await.unwrap();
--- a/programs/tests/testutils/gates.rs
+++ b/programs/tests/testutils/gates.rs
@@ -8,7 +8,6 @@
 use hawthornrack_lib::Customer;
 use hawthornrack_lib::CustomerName;
 use hawthornrack_lib::Endpoint;
-use hawthornrack_lib::EndpointName;
 use hawthornrack_lib::GateCounts;
 use hawthornrack_lib::GateInfo;
 use hawthornrack_lib::GateRpcClient;
@@ -145,13 +144,14 @@
         answer.is_ok_and(|a| a.json()["entries"].as_array().map_or(0, Vec::len) == count)
     }
 
-    /// Declares an endpoint of version `v1`.
-    pub fn add_endpoint(&self, service: &str, name: &str, address: SocketAddr) {
-        self.add_version_endpoint(service, "v1", name, address);
+    /// Declares an endpoint of version `v1` and waits until it is in force at every gate.
+    pub async fn add_endpoint(&self, service: &str, name: &str, address: SocketAddr) {
+        self.add_version_endpoint(service, "v1", name, address)
+            .await;
     }
 
-    /// Declares an endpoint.
-    pub fn add_version_endpoint(
+    /// Declares an endpoint and waits until it is in force at every gate.
+    pub async fn add_version_endpoint(
         &self,
         service: &str,
         version: &str,
@@ -171,14 +171,25 @@
                 .endpoints
                 .insert(endpoint.name.clone(), versioned(endpoint));
         });
+        self.settle().await;
     }
 
-    /// Takes an endpoint's declaration back.
-    pub fn remove_endpoint(&self, name: &str) {
-        let name: EndpointName = name.parse().unwrap();
-        self.change_config(|config| {
-            config.endpoints.shift_remove(&name);
-        });
+    /// Waits until the configuration is in force at every gate that is up.
+    pub async fn settle(&self) {
+        let wanted = Some(self.table.borrow().offset);
+        for gate in &self.gates {
+            let rpc = gate.address("rpc");
+            if std::net::TcpStream::connect(rpc).is_err() {
+                continue;
+            }
+            wait_until("the configuration is in force", LIMIT, async || {
+                let call = self
+                    .rpc
+                    .call(rpc, LIMIT, |client| async move { client.offset().await });
+                call.await.is_ok_and(|offset| offset >= wanted)
+            })
+            .await;
+        }
     }
 
     /// Puts an endpoint's machine under notice.
--- a/programs/tests/testutils/mod.rs
+++ b/programs/tests/testutils/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod gates;
+pub mod tokens;
 
 use std::collections::HashMap;
 use std::io::BufRead;
