--- a/programs/tests/testutils/mod.rs
+++ b/programs/tests/testutils/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod deployment;
+pub mod gates;
+pub mod tokens;
 
 use std::collections::HashMap;
 use std::io::BufRead;
