--- a/lib/src/append_batcher.rs
+++ b/lib/src/append_batcher.rs
@@ -169,9 +169,10 @@
             kept.push(pending);
             continue;
         }
-        let error = match pending.is_sent {
-            true => AppendError::MaybeSent,
-            false => AppendError::NotSent,
+        let error = if pending.is_sent {
+            AppendError::MaybeSent
+        } else {
+            AppendError::NotSent
         };
         let _ = pending.done.send(Err(error));
     }
--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -189,9 +189,10 @@
 }
 
 fn kept(reply: &StoredReply) -> StoredReply {
-    match reply.body.len() > KEPT_BODY {
-        true => reply.without_body(),
-        false => reply.clone(),
+    if reply.body.len() > KEPT_BODY {
+        reply.without_body()
+    } else {
+        reply.clone()
     }
 }
 
--- a/lib/src/claim_client.rs
+++ b/lib/src/claim_client.rs
@@ -103,17 +103,17 @@
             }
             Ok(Some(AcquireAnswer::Refused { reason: why })) => reason = why,
             Ok(Some(AcquireAnswer::Undecided)) => is_sent = true,
-            Ok(None) => {}
             Err(_) if Instant::now() >= deadline => {
                 is_sent = true;
                 break;
             }
-            Err(_) => {}
+            Ok(None) | Err(_) => {}
         }
     }
-    match is_sent {
-        true => Acquired::Undecided(String::from("the log did not answer in time")),
-        false => Acquired::Refused(reason),
+    if is_sent {
+        Acquired::Undecided(String::from("the log did not answer in time"))
+    } else {
+        Acquired::Refused(reason)
     }
 }
 
--- a/lib/src/claim_state.rs
+++ b/lib/src/claim_state.rs
@@ -21,7 +21,7 @@
 use crate::Timestamp;
 
 /// Time after its last change for which a key is remembered.
-pub const KEY_LIFETIME: Duration = Duration::from_secs(24 * 3600);
+pub const KEY_LIFETIME: Duration = Duration::from_hours(24);
 
 /// Attempts remembered for one key.
 const ATTEMPTS_KEPT: usize = 64;
--- a/lib/src/once_dispatch.rs
+++ b/lib/src/once_dispatch.rs
@@ -6,8 +6,6 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
-use sha2::Digest;
-use sha2::Sha256;
 use tokio::time::Instant;
 
 use crate::ATTEMPT_HEADER;
@@ -25,6 +23,7 @@
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::router;
+use crate::token_hash;
 
 /// Endpoints tried while none can have seen the call.
 const MAX_ENDPOINTS: usize = 3;
@@ -126,9 +125,10 @@
 /// Asks the endpoint that may have run a call for its answer.
 async fn recover(gate: &Gate, endpoint: &Endpoint, call: &Call, lost: AttemptError) -> Dispatched {
     let has_key = call.headers.contains_key(IDEMPOTENCY_HEADER);
-    let support = match has_key {
-        true => call.service.keys,
-        false => KeySupport::Ignored,
+    let support = if has_key {
+        call.service.keys
+    } else {
+        KeySupport::Ignored
     };
     for _ in 0..RECOVER_TRIES {
         let answer = match support {
@@ -196,7 +196,5 @@
     if key.chars().all(is_plain) {
         return format!("{}:{key}", call.customer);
     }
-    let digest = Sha256::digest(key.as_bytes());
-    let hex: String = digest.iter().map(|b| format!("{b:02x}")).collect();
-    format!("{}::{hex}", call.customer)
+    format!("{}::{}", call.customer, token_hash(key))
 }
