--- a/lib/src/operator_report.rs
+++ b/lib/src/operator_report.rs
@@ -140,8 +140,8 @@
 
 fn entry_row(member: &Member) -> Option<EntryRow> {
     let gate = member.gate.as_ref()?;
-    let open = gate.accepting && member.state == MemberState::Alive;
-    open.then(|| EntryRow {
+    let alive = matches!(member.state, MemberState::Alive | MemberState::Suspect);
+    (alive && gate.accepting).then(|| EntryRow {
         node: member.node.clone(),
         domain: member.domain.clone(),
         address: gate.callers,
--- a/lib/tests/test_operator.rs
+++ b/lib/tests/test_operator.rs
@@ -65,6 +65,7 @@
 use tonic::Request;
 use tonic::Status;
 use tonic::metadata::MetadataValue;
+use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Channel;
 use tonic::transport::Server;
@@ -227,13 +228,17 @@
     }
 }
 
-type Client =
-    OperatorClient<InterceptedService<Channel, fn(Request<()>) -> Result<Request<()>, Status>>>;
+type Client = OperatorClient<InterceptedService<Channel, AddToken>>;
 
-fn add_token(mut request: Request<()>) -> Result<Request<()>, Status> {
-    let value: MetadataValue<_> = format!("Bearer {TOKEN}").parse().expect("an ASCII token");
-    request.metadata_mut().insert("authorization", value);
-    Ok(request)
+#[derive(Clone, Debug)]
+struct AddToken;
+
+impl Interceptor for AddToken {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        let value: MetadataValue<_> = format!("Bearer {TOKEN}").parse().expect("an ASCII token");
+        request.metadata_mut().insert("authorization", value);
+        Ok(request)
+    }
 }
 
 struct Bench {
@@ -256,10 +261,9 @@
     tokio::spawn(server.serve_with_incoming_shutdown(incoming, stopped));
     let endpoint = Channel::from_shared(format!("http://{address}")).expect("a valid address");
     let channel = endpoint.connect().await.expect("a connection");
-    let add: fn(Request<()>) -> Result<Request<()>, Status> = add_token;
     Bench {
         backend,
-        client: OperatorClient::with_interceptor(channel.clone(), add),
+        client: OperatorClient::with_interceptor(channel.clone(), AddToken),
         channel,
         stopping,
     }
@@ -415,7 +419,7 @@
 
 fn with_version_twice(request: &mut proto::ApplyRequest) -> proto::ApplyRequest {
     edited(request, |service| {
-        service.versions[1].name = String::from("v1")
+        service.versions[1].name = String::from("v1");
     })
 }
 
@@ -623,6 +627,7 @@
     let mut bench = start().await;
     let members = [
         member("n3", MemberState::Alive, true, 500),
+        member("n5", MemberState::Dead, true, 0),
         member("n1", MemberState::Alive, true, 700),
         member("n2", MemberState::Leaving, true, 0),
         member("n4", MemberState::Alive, false, 0),
@@ -642,8 +647,8 @@
         .await
         .expect("an answer");
     let report = NodeReport::try_from(reply.into_inner()).expect("a report");
-    assert_eq!(report.members.len(), 4);
-    assert_eq!(report.members[1], members[2]);
+    assert_eq!(report.members.len(), 5);
+    assert_eq!(report.members[1], members[3]);
     assert_eq!(report.leaving[0].deadline, Timestamp(99));
     assert_eq!(report.state, bench.backend.node_state());
     let reply = bench
--- a/programs/tests/test_ctl.rs
+++ b/programs/tests/test_ctl.rs
@@ -385,9 +385,9 @@
         Desk::new(&[address])
     }
 
-    fn answer(&self) -> Result<Response<proto::Verdict>, Status> {
+    fn answer(&self) -> Response<proto::Verdict> {
         let verdict = Some(self.verdict.clone());
-        Ok(Response::new(proto::Verdict { verdict }))
+        Response::new(proto::Verdict { verdict })
     }
 }
 
@@ -426,21 +426,21 @@
         &self,
         _request: Request<proto::ApplyRequest>,
     ) -> Result<Response<proto::Verdict>, Status> {
-        self.answer()
+        Ok(self.answer())
     }
 
     async fn start_move(
         &self,
         _request: Request<proto::StartMoveRequest>,
     ) -> Result<Response<proto::Verdict>, Status> {
-        self.answer()
+        Ok(self.answer())
     }
 
     async fn cancel_move(
         &self,
         _request: Request<proto::CancelMoveRequest>,
     ) -> Result<Response<proto::Verdict>, Status> {
-        self.answer()
+        Ok(self.answer())
     }
 
     async fn watch_move(
