--- a/programs/tests/testutils/gates.rs
+++ b/programs/tests/testutils/gates.rs
@@ -11,7 +11,10 @@
 use hawthornrack_lib::GateCounts;
 use hawthornrack_lib::GateInfo;
 use hawthornrack_lib::GateRpcClient;
+use hawthornrack_lib::HybridTime;
 use hawthornrack_lib::KeySupport;
+use hawthornrack_lib::LiveDelta;
+use hawthornrack_lib::LiveView;
 use hawthornrack_lib::Member;
 use hawthornrack_lib::MemberState;
 use hawthornrack_lib::Offset;
@@ -32,6 +35,7 @@
 use hawthornrack_lib::token_hash;
 use hyper::Method;
 use indexmap::IndexMap;
+use jsonrpsee::ResponsePayload;
 use jsonrpsee::RpcModule;
 use jsonrpsee::SubscriptionMessage;
 use jsonrpsee::server::Server;
@@ -61,13 +65,34 @@
 /// Time between two tables when nothing changes.
 const REPEAT: Duration = Duration::from_millis(500);
 
+/// The table that the test sets.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// Offset of the configuration.
+    pub offset: Offset,
+    /// Configuration.
+    pub config: Option<Arc<ConfigState>>,
+    /// Facts that change without the log.
+    pub live: LiveView,
+}
+
+impl Table {
+    fn whole_update(&self) -> TableUpdate {
+        TableUpdate {
+            offset: self.offset,
+            config: self.config.clone(),
+            live: LiveDelta::between(None, &self.live),
+        }
+    }
+}
+
 /// Gates that read the table that the test sets.
 pub struct Site {
     /// The gates.
     pub gates: Vec<Process>,
     /// HTTP client of the test.
     pub http: Http,
-    table: watch::Sender<TableUpdate>,
+    table: watch::Sender<Table>,
     controller: SocketAddr,
     secret: NamedTempFile,
     settings: Vec<NamedTempFile>,
@@ -216,7 +241,7 @@
     }
 
     /// Changes the table.
-    pub fn change(&self, update: impl FnOnce(&mut TableUpdate)) {
+    pub fn change(&self, update: impl FnOnce(&mut Table)) {
         self.table.send_modify(update);
     }
 
@@ -272,7 +297,7 @@
     }
 }
 
-fn first_table() -> TableUpdate {
+fn first_table() -> Table {
     let mut config = ConfigState {
         next: Offset(1),
         ..ConfigState::default()
@@ -294,10 +319,10 @@
         let service = service(name.clone(), kind);
         config.services.insert(name, versioned(service));
     }
-    TableUpdate {
+    Table {
         offset: config.next,
         config: Some(Arc::new(config)),
-        live: hawthornrack_lib::LiveView::default(),
+        live: LiveView::default(),
     }
 }
 
@@ -333,7 +358,7 @@
     }
 }
 
-async fn serve_table(table: watch::Receiver<TableUpdate>) -> (SocketAddr, ServerHandle) {
+async fn serve_table(table: watch::Receiver<Table>) -> (SocketAddr, ServerHandle) {
     let server = Server::builder().build("127.0.0.1:0").await.unwrap();
     let address = server.local_addr().unwrap();
     let mut module = RpcModule::new(table);
@@ -346,7 +371,7 @@
                 let sink = pending.accept().await?;
                 let mut table = watch::Receiver::clone(&table);
                 while !sink.is_closed() {
-                    let update = table.borrow_and_update().clone();
+                    let update = table.borrow_and_update().whole_update();
                     let raw = serde_json::value::to_raw_value(&update)?;
                     if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
                         break;
@@ -357,5 +382,10 @@
             },
         )
         .unwrap();
+    module
+        .register_method("table_report", |_params, _table, _extensions| {
+            ResponsePayload::success(HybridTime::default())
+        })
+        .unwrap();
     (address, server.start(module))
 }
