--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,6 +18,7 @@
 mod proxy;
 mod rate;
 mod reply;
+mod site;
 mod stream;
 mod weights;
 
@@ -30,4 +31,7 @@
 pub use plain::*;
 pub use proxy::*;
 pub use reply::*;
+pub use site::Site;
+pub use site::SiteEntry;
+pub use site::SiteError;
 pub use weights::*;
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of `hawthorn-lab`, one a module.
 
 mod cloud;
+mod demo;
 mod engine;
 mod log;
 mod plain;
@@ -20,6 +21,7 @@
 use tracing_subscriber::EnvFilter;
 
 use self::cloud::CloudCommand;
+use self::demo::DemoCommand;
 use self::engine::EngineCommand;
 use self::log::LogCommand;
 use self::plain::PlainCommand;
@@ -42,6 +44,7 @@
 #[argh(subcommand)]
 enum Command {
     Cloud(CloudCommand),
+    Demo(DemoCommand),
     Engine(EngineCommand),
     Log(LogCommand),
     Plain(PlainCommand),
@@ -76,6 +79,7 @@
         runtime.block_on(async {
             match self {
                 Self::Cloud(command) => command.run().await,
+                Self::Demo(command) => command.run().await,
                 Self::Engine(command) => command.run().await,
                 Self::Log(command) => command.run().await,
                 Self::Plain(command) => command.run().await,
