--- a/lib/src/lease_keeper.rs
+++ b/lib/src/lease_keeper.rs
@@ -17,6 +17,7 @@
 use crate::Epoch;
 use crate::Lease;
 use crate::LeaseChange;
+use crate::LeaseRow;
 use crate::LeaseState;
 use crate::LeaseStep;
 use crate::LeaseView;
@@ -98,6 +99,19 @@
         let (epoch, until) = watched.get(duty)?.held?;
         (Instant::now() + span < until).then_some(epoch)
     }
+
+    /// Returns the leases that are not released, as the log records them.
+    pub(crate) fn rows(&self) -> Vec<LeaseRow> {
+        self.fold.with(|state| {
+            let held = state.iter().filter(|(_, lease)| !lease.released);
+            held.map(|(Duty::Service(service), lease)| LeaseRow {
+                duty: service.to_string(),
+                holder: lease.holder.clone(),
+                epoch: lease.epoch,
+            })
+            .collect()
+        })
+    }
 }
 
 impl Watched {
--- a/lib/src/lease_state.rs
+++ b/lib/src/lease_state.rs
@@ -74,6 +74,11 @@
         self.leases.get(duty)
     }
 
+    /// Returns all leases by duty.
+    pub fn iter(&self) -> impl Iterator<Item = (&Duty, &Lease)> {
+        self.leases.iter()
+    }
+
     fn current(&mut self, duty: &Duty, epoch: Epoch) -> Option<&mut Lease> {
         let lease = self.leases.get_mut(duty)?;
         (lease.epoch == epoch && !lease.released).then_some(lease)
--- a/lib/src/operator_access.rs
+++ b/lib/src/operator_access.rs
@@ -89,7 +89,7 @@
             node: self.controller.kernel.node.clone(),
             ready: self.controller.config().is_some(),
             log_reachable: self.controller.contact.log_silence() < ISOLATION_LIMIT,
-            leases: Vec::new(),
+            leases: self.controller.leases.rows(),
         }
     }
 
