--- a/programs/tests/test_membership.rs
+++ b/programs/tests/test_membership.rs
@@ -281,3 +281,13 @@
     let desk = ServiceName::new("desk").unwrap();
     assert_eq!(config.services[&desk].revision, before);
 }
+
+#[tokio::test]
+async fn test_membership_last_peer_is_known_to_be_dead() {
+    let mut deployment = deploy(2).await;
+    deployment.entries[1].controller.kill();
+    wait_until("the dead controller is known", DEATH_LIMIT, async || {
+        states(&deployment, 0).await == [MemberState::Alive, MemberState::Dead]
+    })
+    .await;
+}
