--- a/lib/src/lease_keeper.rs
+++ b/lib/src/lease_keeper.rs
@@ -11,10 +11,13 @@
 use tokio::time::Instant;
 
 use crate::Body;
+use crate::ControlSettings;
 use crate::Controller;
 use crate::ControllerPlugin;
 use crate::Duty;
 use crate::Epoch;
+use crate::Error;
+use crate::ErrorKind;
 use crate::Lease;
 use crate::LeaseChange;
 use crate::LeaseRow;
@@ -23,6 +26,7 @@
 use crate::LeaseView;
 use crate::MemberState;
 use crate::Offset;
+use crate::RENEWALS_PER_TERM;
 use crate::RecordId;
 use crate::Result;
 use crate::Service;
@@ -31,6 +35,7 @@
 use crate::decide_lease;
 use crate::fold_store::Fold;
 use crate::fold_store::FoldStore;
+use crate::millis;
 use crate::rank_nodes;
 use crate::stream_tail;
 
@@ -157,8 +162,8 @@
     }
 }
 
-#[expect(clippy::unnecessary_wraps, reason = "the registry's signature")]
 fn start(controller: &Arc<Controller>) -> Result<()> {
+    check_term(&controller.settings.control)?;
     let tail = Arc::clone(controller);
     controller.kernel.spawn(async move {
         stream_tail::follow(&tail, Stream::Leases, &tail.leases.fold).await;
@@ -168,6 +173,21 @@
     Ok(())
 }
 
+/// Checks that an order fits into what is left of a term at its renewal.
+fn check_term(control: &ControlSettings) -> Result<()> {
+    let renewed = control.term / RENEWALS_PER_TERM;
+    let least = renewed + control.margin + ORDER_TIMEOUT + LOOK_INTERVAL;
+    if control.term > least {
+        return Ok(());
+    }
+    let detail = format!(
+        "control.term of {} ms is too short: it must exceed {} ms with this margin",
+        millis(control.term),
+        millis(least),
+    );
+    Err(Error::new(ErrorKind::Internal, detail))
+}
+
 async fn keep(controller: &Arc<Controller>) {
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
--- a/lib/src/lease_state.rs
+++ b/lib/src/lease_state.rs
@@ -18,7 +18,7 @@
 use crate::RecordId;
 
 /// Parts of a term after which the holder renews.
-const RENEWALS_PER_TERM: u32 = 3;
+pub const RENEWALS_PER_TERM: u32 = 3;
 
 /// A lease as its newest record left it.
 #[serde_as]
