--- a/lib/src/lease_state.rs
+++ b/lib/src/lease_state.rs
@@ -18,7 +18,7 @@
 use crate::RecordId;
 
 /// Parts of a term after which the holder renews.
-const RENEWALS_PER_TERM: u32 = 3;
+pub const RENEWALS_PER_TERM: u32 = 3;
 
 /// A lease as its newest record left it.
 #[serde_as]
@@ -74,6 +74,11 @@
         self.leases.get(duty)
     }
 
+    /// Returns all leases by duty.
+    pub fn iter(&self) -> impl Iterator<Item = (&Duty, &Lease)> {
+        self.leases.iter()
+    }
+
     fn current(&mut self, duty: &Duty, epoch: Epoch) -> Option<&mut Lease> {
         let lease = self.leases.get_mut(duty)?;
         (lease.epoch == epoch && !lease.released).then_some(lease)
