--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -24,6 +24,13 @@
 /// Time within which a live endpoint accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Pauses before the probes of an endpoint: one that is crashing may still accept a connection.
+const PROBE_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+];
+
 /// Requests remembered at most.
 const MAX_KEPT: usize = 10_000;
 
@@ -64,12 +71,15 @@
     /// Counts a crash if the endpoint, which closed the request's connection without an
     /// answer, accepts no new connection; returns whether it crashed.
     pub(crate) async fn observe(&self, digest: u64, endpoint: &Endpoint) -> bool {
-        let probe = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address));
-        let refused = matches!(probe.await, Ok(Err(_)));
-        if refused {
-            self.add(digest, endpoint.name.clone());
+        for pause in PROBE_PAUSES {
+            tokio::time::sleep(pause).await;
+            let probe = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(endpoint.address));
+            if let Ok(Err(_)) = probe.await {
+                self.add(digest, endpoint.name.clone());
+                return true;
+            }
         }
-        refused
+        false
     }
 
     /// Returns the digests of crashes since the last call, one entry a crash.
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -7,6 +7,8 @@
 //! while after a connection breaks: `GET /v1/streams/{id}?from=N` picks the stream up after
 //! token N, `DELETE /v1/streams/{id}` cancels it.
 //!
+//! An engine answers 429 or 503 only to what it has not run.
+//!
 //! Cache: `POST /v1/kv/export` with a [`KvExport`] answers a [`KvHandle`];
 //! `POST /v1/kv/import` with a [`KvImport`] answers a [`KvStream`] on the importing engine.
 //!
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -16,6 +17,7 @@
 use crate::ReplyBody;
 use crate::Result;
 use crate::RoutingTable;
+use crate::ServiceKind;
 use crate::call;
 use crate::entries::entry_answer;
 use crate::hand_over;
@@ -42,6 +44,7 @@
 }
 
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
+    check_headers(request.headers(), gate.settings.limits.headers)?;
     let table = gate
         .table()
         .ok_or_else(|| Error::new(ErrorKind::NotReady, "no configuration is in force yet"))?;
@@ -52,10 +55,20 @@
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
-    if model_call::is_completion(&call) {
-        return model_call::run(&gate, call).await;
+    match call.service.kind {
+        ServiceKind::Model => model_call::run(&gate, call).await,
+        ServiceKind::Plain => run::run(&gate, call).await,
     }
-    run::run(&gate, call).await
+}
+
+/// Checks the size of a header section.
+fn check_headers(headers: &HeaderMap, limit: usize) -> Result<()> {
+    let size = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
+    if size.sum::<usize>() > limit {
+        let detail = format!("the headers may have at most {limit} bytes");
+        return Err(Error::new(ErrorKind::HeadersTooLarge, detail));
+    }
+    Ok(())
 }
 
 /// Sends a caller to another gate when this one's machine is under notice.
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -33,6 +33,16 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Header fields of a request at most.
+const MAX_HEADERS: usize = 512;
+
+/// Factor from the allowed size of a header section to the size that is still read, so that a
+/// caller slightly above the limit gets an answer with a body.
+const HEADER_ROOM: usize = 4;
+
+/// Smallest read buffer that `hyper` accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8192;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -126,7 +136,8 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.header_bytes.max(8192));
+        .max_headers(MAX_HEADERS)
+        .max_buf_size((limits.header_bytes * HEADER_ROOM).max(MIN_BUFFER_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/lib/src/model_call.rs
+++ b/lib/src/model_call.rs
@@ -18,7 +18,6 @@
 use crate::ReplyBody;
 use crate::Result;
 use crate::ResumeToken;
-use crate::ServiceKind;
 use crate::call::Call;
 use crate::completion::Completion;
 use crate::full_body;
@@ -47,12 +46,24 @@
     pub(crate) path: String,
 }
 
-/// Tells whether a call follows the completions protocol.
-pub(crate) fn is_completion(call: &Call) -> bool {
+/// Checks that a call of a model service follows the completions protocol.
+///
+/// The engines' other paths are not for callers.
+///
+/// # Errors
+///
+/// Fails with [`ErrorKind::NotFound`] or [`ErrorKind::MethodNotAllowed`].
+fn check_target(call: &Call) -> Result<()> {
     let path = call.path.split('?').next().unwrap_or_default();
-    call.service.kind == ServiceKind::Model
-        && call.method == Method::POST
-        && path.rsplit('/').next() == Some(COMPLETIONS)
+    if path.rsplit('/').next() != Some(COMPLETIONS) {
+        let detail = "a model service answers completions only";
+        return Err(Error::new(ErrorKind::NotFound, detail));
+    }
+    if call.method != Method::POST {
+        let detail = "completions are requested with POST";
+        return Err(Error::new(ErrorKind::MethodNotAllowed, detail));
+    }
+    Ok(())
 }
 
 /// Runs a completion request and returns its answer.
@@ -61,6 +72,7 @@
 ///
 /// Fails with the kind that tells what is known of the call's effect.
 pub(crate) async fn run(gate: &Arc<Gate>, mut call: Call) -> Result<Response<ReplyBody>> {
+    check_target(&call)?;
     let wanted = Completion::parse(&call.body)?;
     let resume = resume_token(gate, &mut call)?;
     if let Some(token) = &resume {
--- a/lib/src/stream_open.rs
+++ b/lib/src/stream_open.rs
@@ -166,7 +166,7 @@
     /// Passes on an answer that is no stream, if nothing has been passed on yet.
     async fn pass_on(&self, endpoint: &Endpoint, answer: Answer) -> Result<bool, AttemptError> {
         let status = answer.response.status();
-        if self.run.is_some() {
+        if self.run.is_some() || matches!(status.as_u16(), 429 | 503) {
             return Err(AttemptError::Status(status.as_u16()));
         }
         let progress = self.gate.settings.limits.progress;
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -323,7 +323,8 @@
     /// Records what a failed attempt says of the version and of the request.
     pub(crate) async fn blame(&self, endpoint: &Endpoint, error: &AttemptError) {
         match error {
-            AttemptError::Unsent(_) | AttemptError::Crossed | AttemptError::Status(429 | 503) => {}
+            AttemptError::Unsent(_) | AttemptError::Status(429 | 503) => {}
+            AttemptError::Crossed => self.gate.counters.add(Count::Crossed, 1),
             AttemptError::MaybeSent(_) => {
                 let digest = self.call.digest();
                 self.gate.crashes.observe(digest, endpoint).await;
--- a/programs/tests/test_resume.rs
+++ b/programs/tests/test_resume.rs
@@ -240,7 +240,7 @@
         let begin = read_tokens(&mut stream, 1).await;
         streams.push((stream, token, begin));
     }
-    site.reclaim_gate(0, Duration::from_secs(5));
+    site.reclaim_gate(0, Duration::from_millis(800));
     wait_until("the hand-over has begun", LIMIT, async || {
         site.counts(0).await.handed_over > 0
     })
