--- a/lib/src/claim_state.rs
+++ b/lib/src/claim_state.rs
@@ -21,7 +21,7 @@
 use crate::Timestamp;
 
 /// Time after its last change for which a key is remembered.
-pub const KEY_LIFETIME: Duration = Duration::from_secs(24 * 3600);
+pub const KEY_LIFETIME: Duration = Duration::from_hours(24);
 
 /// Attempts remembered for one key.
 const ATTEMPTS_KEPT: usize = 64;
@@ -351,8 +351,7 @@
             let status = self.entries.get_mut(&key).map(|e| &mut e.status);
             if let Some(ClaimStatus::Finished { reply, .. }) = status {
                 self.body_bytes -= reply.body.len();
-                reply.omitted = reply.omitted.or(Some(reply.body.len() as u64));
-                reply.body = Vec::new();
+                *reply = reply.without_body();
             }
         }
     }
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -17,6 +17,7 @@
 use crate::GateSettings;
 use crate::HttpClient;
 use crate::Kernel;
+use crate::Reports;
 use crate::Result;
 use crate::RetryBudget;
 use crate::RpcClients;
@@ -31,6 +32,8 @@
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
+use crate::once;
+use crate::once::Once;
 use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
 use crate::rpc_server::serve_rpc;
@@ -51,6 +54,9 @@
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
     pub(crate) in_flight: InFlight,
+    /// What the gate has to report to its controller.
+    pub(crate) reports: Reports,
+    pub(crate) once: Once,
     /// Clients of other processes' RPC ports.
     pub(crate) rpc: RpcClients,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
@@ -93,6 +99,7 @@
             rpc: bound(&rpc)?,
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
+        let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
         let gate = Arc::new(Self {
             evidence: EvidenceRecorder::new(kernel.clock),
             kernel,
@@ -100,6 +107,8 @@
             addrs,
             http: HttpClient::new(),
             in_flight: InFlight::default(),
+            reports,
+            once: Once::default(),
             rpc: RpcClients::new(key.clone()),
             table: watch::Sender::new(None),
             key: key.clone(),
@@ -175,6 +184,7 @@
         }
         let mut served = self.served.subscribe();
         let _ = served.wait_for(|done| *done).await;
+        once::drain(self, self.settings.limits.drain).await;
         self.kernel.stop(STOP_LIMIT).await;
     }
 
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -22,6 +22,7 @@
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
+use crate::once;
 use crate::problem::problem;
 use crate::rank_entries;
 use crate::run;
@@ -57,7 +58,8 @@
     let call = call::receive(&table, gate.settings.limits, request).await?;
     match call.service.kind {
         ServiceKind::Model => model_call::run(&gate, call).await,
-        ServiceKind::Plain => run::run(&gate, call).await,
+        ServiceKind::Plain if call.is_repeatable() => run::run(&gate, call).await,
+        ServiceKind::Plain => once::run_once(&gate, call).await,
     }
 }
 
--- a/programs/tests/test_reclaim.rs
+++ b/programs/tests/test_reclaim.rs
@@ -162,7 +162,7 @@
     site.add_endpoint("tutor", "e1", engine.http()).await;
     site.add_endpoint("tutor", "e2", other.http()).await;
     let gate = site.add_gate("d1").await;
-    site.reclaim_endpoint("e1", Duration::from_secs(60));
+    site.reclaim_endpoint("e1", Duration::from_mins(1));
     tokio::time::sleep(Duration::from_millis(300)).await;
     let before = stats(&site, &engine).await.runs;
     for number in 0..20 {
