claims: a second writer's record no longer expires earlier keys

Cause: an entry took its time from the fold's clock, which stands at zero until two writers have been heard. The second writer's record moved it by decades, so that every key held until then expired, and its call could run again. An entry now takes the later of that clock and of its own record's time.

Shown failing first: test_claim_state_second_writer_expires_nothing: left: Held { attempt: AttemptId(2), .. }, right: Won test_claim_state_at_most_one_attempt_dispatches: 2 attempts were sent Also: a starting controller reads the streams to their end without waiting, and a holder whose gate stays silent for 5 s is given up.

--- a/lib/src/claim_state.rs
+++ b/lib/src/claim_state.rs
@@ -153,7 +153,7 @@
             .observe(&record.envelope.writer, record.envelope.at);
         self.missing = self.still_missing();
         if let Body::Claim(change) = &record.envelope.body {
-            self.change(change);
+            self.change(change, record.envelope.at);
         }
         if record.offset.0.is_multiple_of(SWEEP_INTERVAL) {
             self.sweep();
@@ -220,26 +220,34 @@
         }
     }
 
-    fn change(&mut self, change: &ClaimChange) {
+    fn change(&mut self, change: &ClaimChange, at: Timestamp) {
+        let at = at.max(self.clock.now());
         match change {
-            ClaimChange::Abandon { key, attempt } => self.abandon(key, *attempt),
+            ClaimChange::Abandon { key, attempt } => self.abandon(key, *attempt, at),
             ClaimChange::Acquire {
                 key,
                 attempt,
                 gate,
                 digest,
-            } => self.acquire(key, *attempt, gate, *digest),
+            } => self.acquire(key, *attempt, gate, *digest, at),
             ClaimChange::Finish {
                 key,
                 attempt,
                 reply,
-            } => self.finish(key, *attempt, reply),
-            ClaimChange::Release { key, attempt } => self.release(key, *attempt),
+            } => self.finish(key, *attempt, reply, at),
+            ClaimChange::Release { key, attempt } => self.release(key, *attempt, at),
         }
     }
 
-    fn acquire(&mut self, key: &ClaimKey, attempt: AttemptId, gate: &NodeName, digest: u64) {
-        let entry = self.touch(key);
+    fn acquire(
+        &mut self,
+        key: &ClaimKey,
+        attempt: AttemptId,
+        gate: &NodeName,
+        digest: u64,
+        at: Timestamp,
+    ) {
+        let entry = self.touch(key, at);
         if entry.spent.contains(&attempt) || entry.holder() == Some(attempt) {
             return;
         }
@@ -256,8 +264,8 @@
 
     /// Frees the claim; its holder alone knows that the call was not sent, also after another
     /// node gave the holder up.
-    fn release(&mut self, key: &ClaimKey, attempt: AttemptId) {
-        let entry = self.touch(key);
+    fn release(&mut self, key: &ClaimKey, attempt: AttemptId, at: Timestamp) {
+        let entry = self.touch(key, at);
         let is_finished = matches!(entry.status, ClaimStatus::Finished { .. });
         if entry.holder() == Some(attempt) && !is_finished {
             entry.status = ClaimStatus::Free;
@@ -267,8 +275,8 @@
         }
     }
 
-    fn finish(&mut self, key: &ClaimKey, attempt: AttemptId, reply: &StoredReply) {
-        let entry = self.touch(key);
+    fn finish(&mut self, key: &ClaimKey, attempt: AttemptId, reply: &StoredReply, at: Timestamp) {
+        let entry = self.touch(key, at);
         let is_finished = matches!(entry.status, ClaimStatus::Finished { .. });
         let is_new = entry.status == ClaimStatus::Free && entry.spent.is_empty();
         if is_finished || !(is_new || entry.holder() == Some(attempt)) {
@@ -283,8 +291,8 @@
         self.omit_oldest();
     }
 
-    fn abandon(&mut self, key: &ClaimKey, attempt: AttemptId) {
-        let entry = self.touch(key);
+    fn abandon(&mut self, key: &ClaimKey, attempt: AttemptId, at: Timestamp) {
+        let entry = self.touch(key, at);
         if let ClaimStatus::Held {
             attempt: holder,
             gate,
@@ -298,9 +306,8 @@
         }
     }
 
-    /// Returns the key's entry with the present time as that of its last change.
-    fn touch(&mut self, key: &ClaimKey) -> &mut ClaimEntry {
-        let now = self.clock.now();
+    /// Returns the key's entry with `at` as the time of its last change.
+    fn touch(&mut self, key: &ClaimKey, at: Timestamp) -> &mut ClaimEntry {
         let key = key.to_string();
         let expired = self.entries.get(&key).is_some_and(|e| self.is_expired(e));
         if expired {
@@ -310,9 +317,9 @@
             digest: 0,
             status: ClaimStatus::Free,
             spent: Vec::new(),
-            at: now,
+            at,
         });
-        entry.at = now;
+        entry.at = entry.at.max(at);
         entry
     }
 
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -48,6 +48,9 @@
 /// Time for which a controller is asked to wait for the end of another attempt.
 const JOIN_WAIT: Duration = Duration::from_millis(500);
 
+/// Silence of the holder's gate after which it counts as gone.
+const SILENT_LIMIT: Duration = Duration::from_secs(5);
+
 /// Pause after which an attempt asks again.
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -207,6 +210,7 @@
     mut query: ClaimQuery,
     mut view: ClaimView,
 ) -> Result<Option<StoredReply>> {
+    let mut heard = Instant::now();
     loop {
         match view {
             ClaimView::Free | ClaimView::Won => return Ok(None),
@@ -225,8 +229,15 @@
                 gate: node,
             } => {
                 query.holder = attempt;
-                if let Some(end) = ask_holder(gate, call, &query, &node).await {
-                    return end.map(Some);
+                match claim_holder::find_holder(gate, &node, attempt).await {
+                    Holder::Present(Progress::Done { reply }) => return Ok(Some(reply)),
+                    Holder::Present(Progress::Running) => heard = Instant::now(),
+                    Holder::Unsure if heard.elapsed() < SILENT_LIMIT => {}
+                    Holder::Gone | Holder::Unsure => {
+                        if let Some(end) = give_up(gate, call, &query).await {
+                            return end.map(Some);
+                        }
+                    }
                 }
             }
             ClaimView::Pending => tokio::time::sleep(JOIN_PAUSE).await,
@@ -244,30 +255,16 @@
     }
 }
 
-/// Asks the gate of the attempt that holds the claim; gives the attempt up when it is gone.
-async fn ask_holder(
-    gate: &Gate,
-    call: &Call,
-    query: &ClaimQuery,
-    node: &NodeName,
-) -> Option<Result<StoredReply>> {
-    match claim_holder::find_holder(gate, node, query.holder).await {
-        Holder::Present(Progress::Done { reply }) => Some(Ok(reply)),
-        Holder::Present(Progress::Running) | Holder::Unsure => None,
-        Holder::Gone => {
-            let view = recheck(gate, query).await;
-            if !matches!(view, Some(ClaimView::Held { attempt, .. }) if attempt == query.holder) {
-                return None;
-            }
-            gate.once.outbox.push(crate::claim::abandonment(
-                gate,
-                query.key.clone(),
-                query.holder,
-            ));
-            let end = find_answer(gate, call, &query.key, query.holder).await;
-            end.transpose()
-        }
+/// Gives the attempt that holds the claim up, unless its end has come from the log.
+async fn give_up(gate: &Gate, call: &Call, query: &ClaimQuery) -> Option<Result<StoredReply>> {
+    let view = recheck(gate, query).await;
+    if !matches!(view, Some(ClaimView::Held { attempt, .. }) if attempt == query.holder) {
+        return None;
     }
+    let record = crate::claim::abandonment(gate, query.key.clone(), query.holder);
+    gate.once.outbox.push(record);
+    let end = find_answer(gate, call, &query.key, query.holder).await;
+    end.transpose()
 }
 
 /// Reads the claim once more, since its end may have reached the log a moment ago.
--- a/lib/src/stream_tail.rs
+++ b/lib/src/stream_tail.rs
@@ -40,11 +40,12 @@
     let mut parts = Assembler::default();
     loop {
         let from = store.next();
-        match controller
-            .log
-            .read(stream, from, READ_LIMIT, READ_WAIT)
-            .await
-        {
+        let wait = if store.is_caught_up() {
+            READ_WAIT
+        } else {
+            Duration::ZERO
+        };
+        match controller.log.read(stream, from, READ_LIMIT, wait).await {
             Ok(ReadOutcome::Records(reply)) => {
                 take(store, &mut parts, &reply.records);
                 if store.next() >= reply.next && !store.is_caught_up() {
