--- a/lib/src/contact.rs
+++ b/lib/src/contact.rs
@@ -6,7 +6,10 @@
 use tokio::time::Instant;
 
 /// Silence of both the log and all peers after which a node withdraws.
-pub const ISOLATION_LIMIT: Duration = Duration::from_secs(5);
+///
+/// It is shorter than the time within which a configuration must be in force everywhere, so
+/// that a node that cannot learn of a new one no longer serves by the old one.
+pub const ISOLATION_LIMIT: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -17,12 +20,15 @@
 /// When this node last heard from the log and from a peer.
 #[derive(Debug)]
 pub(crate) struct Contact {
+    /// Whether the settings name peers.
+    has_peers: bool,
     heard: Mutex<Heard>,
 }
 
 impl Contact {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(has_peers: bool) -> Self {
         Self {
+            has_peers,
             heard: Mutex::new(Heard {
                 log: Instant::now(),
                 peer: None,
@@ -50,12 +56,20 @@
         self.heard.lock().peer.map(|at| at.elapsed())
     }
 
-    /// Tells whether the node has heard from neither for too long.
+    /// Returns the time since the last answer of the log or of a peer.
     ///
-    /// A node that never had a peer is the whole deployment and is never isolated.
+    /// Returns `None` for a node that never had a peer and knows of none: it is the whole
+    /// deployment and is never isolated.
+    pub(crate) fn silence(&self) -> Option<Duration> {
+        let log = self.log_silence();
+        match self.peer_silence() {
+            Some(peer) => Some(log.min(peer)),
+            None => self.has_peers.then_some(log),
+        }
+    }
+
+    /// Tells whether the node has heard from neither for too long.
     pub(crate) fn is_isolated(&self) -> bool {
-        let heard = *self.heard.lock();
-        let peer_silent = heard.peer.is_some_and(|at| at.elapsed() > ISOLATION_LIMIT);
-        peer_silent && heard.log.elapsed() > ISOLATION_LIMIT
+        self.silence().is_some_and(|s| s > ISOLATION_LIMIT)
     }
 }
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -96,13 +96,14 @@
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let own = own_member(&settings, addrs, kernel.clock.now());
         let live = LiveStore::new(own, kernel.clock, kernel.events.clone());
+        let contact = Contact::new(!settings.peers.is_empty());
         let controller = Arc::new(Self {
             kernel,
             settings,
             addrs,
             claims: Arc::new(ClaimStore::new()),
             config: ConfigStore::new(),
-            contact: Contact::new(),
+            contact,
             leases: LeaseStore::new(),
             live,
             log,
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -32,6 +32,7 @@
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
+use crate::isolation::Isolation;
 use crate::once;
 use crate::once::Once;
 use crate::reclaim::TransferCosts;
@@ -66,6 +67,8 @@
     pub(crate) crashes: Crashes,
     pub(crate) evidence: EvidenceRecorder,
     pub(crate) handed: HandedStates,
+    /// Whether the gate can still learn of a new configuration.
+    pub(crate) isolation: Isolation,
     pub(crate) transfers: TransferCosts,
     /// Time at which the gate's own machine ends, once it is under notice.
     pub(crate) notice: watch::Sender<Option<Timestamp>>,
@@ -116,6 +119,7 @@
             counters: GateCounters::default(),
             crashes: Crashes::default(),
             handed: HandedStates::default(),
+            isolation: Isolation::default(),
             transfers: TransferCosts::default(),
             notice: watch::Sender::new(None),
             draining: watch::Sender::new(false),
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::header::LINK;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -47,7 +48,10 @@
         .table()
         .ok_or_else(|| Error::new(ErrorKind::NotReady, "no configuration is in force yet"))?;
     if request.uri().path() == ENTRIES_PATH {
-        return list_entries(&table, &request);
+        return list_entries(&gate, &table, &request);
+    }
+    if gate.isolation.is_isolated() {
+        return Ok(withdraw(&gate));
     }
     if let Some(response) = leave(&gate, &table, &request)? {
         return Ok(response);
@@ -83,7 +87,25 @@
     response.map(Some).ok_or_else(refusal)
 }
 
-fn list_entries(table: &RoutingTable, request: &Request<Incoming>) -> Result<Response<ReplyBody>> {
+/// Refuses a request because a newer configuration may be in force elsewhere, and names the
+/// other entries.
+fn withdraw(gate: &Gate) -> Response<ReplyBody> {
+    let detail = "this entry can reach neither the log nor its peers; use another one";
+    let mut response = problem(&Error::new(ErrorKind::NotReady, detail));
+    let links = gate.isolation.others();
+    let links = links.iter().map(|a| format!("<http://{a}>; rel=\"alternate\""));
+    let links = links.collect::<Vec<_>>().join(", ");
+    if let Ok(value) = HeaderValue::from_str(&links) {
+        response.headers_mut().insert(LINK, value);
+    }
+    response
+}
+
+fn list_entries(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+) -> Result<Response<ReplyBody>> {
     if request.method() != Method::GET {
         return Err(Error::new(
             ErrorKind::MethodNotAllowed,
@@ -91,5 +113,9 @@
         ));
     }
     let customer = call::customer(table, request.headers())?;
-    Ok(entry_answer(&rank_entries(table, &customer)))
+    let mut list = rank_entries(table, &customer);
+    if gate.isolation.is_isolated() {
+        list.entries = gate.isolation.others();
+    }
+    Ok(entry_answer(&list))
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -47,6 +47,7 @@
 mod http_server;
 mod ids;
 mod in_flight;
+mod isolation;
 mod kernel;
 mod lease_keeper;
 mod lease_state;
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -35,6 +35,8 @@
     Unreadable(#[from] serde_json::Error),
     /// the controller fell silent
     Silent(#[from] Elapsed),
+    /// the controller has no configuration in force or is isolated
+    NotReady,
 }
 
 /// How a link ended without a failure.
@@ -52,6 +54,10 @@
 /// Time within which a controller must accept the link.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time within which the first update must come; a controller that has just started may first
+/// have to read its configuration.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Pause before the next controller is tried.
 const LINK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -127,7 +133,8 @@
 
 /// Follows a controller until the link ends; an error tells whether the link was up.
 async fn follow(gate: &Gate, controller: SocketAddr) -> Result<LinkEnd, (LinkError, bool)> {
-    let (client, mut updates) = open(gate, controller).await.map_err(|e| (e, false))?;
+    let (client, mut updates, first) = open(gate, controller).await.map_err(|e| (e, false))?;
+    install(gate, first);
     gate.kernel
         .events
         .record("link.up", &[("controller", &controller)]);
@@ -143,10 +150,11 @@
     ended.map_err(|error| (error, true))
 }
 
+/// Opens a link and waits for its first update: a controller that sends none is of no use.
 async fn open(
     gate: &Gate,
     controller: SocketAddr,
-) -> Result<(WsClient, Subscription<TableUpdate>), LinkError> {
+) -> Result<(WsClient, Subscription<TableUpdate>, TableUpdate), LinkError> {
     let connect = gate.rpc.websocket(controller, CONNECT_TIMEOUT);
     let client = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
     gate.reports.start_over();
@@ -154,8 +162,10 @@
         gate: statement(gate),
         time: gate.kernel.events.time(),
     };
-    let updates = tokio::time::timeout(CONNECT_TIMEOUT, client.table(hello)).await??;
-    Ok((client, updates))
+    let mut updates = tokio::time::timeout(CONNECT_TIMEOUT, client.table(hello)).await??;
+    let first = tokio::time::timeout(FIRST_TIMEOUT, updates.next()).await?;
+    let first = first.transpose()?.ok_or(LinkError::NotReady)?;
+    Ok((client, updates, first))
 }
 
 /// Describes the gate to its controller.
@@ -191,9 +201,18 @@
 
 fn install(gate: &Gate, update: TableUpdate) {
     let current = gate.table();
+    let silence = update.silence_ms.map(Duration::from_millis);
+    let is_older = current
+        .as_ref()
+        .is_some_and(|c| update.offset < c.config.next);
     let Some(table) = RoutingTable::next(current.as_deref(), update) else {
         return;
     };
+    // A controller that is behind the table in force says nothing about newer changes.
+    if !is_older {
+        let own = &gate.settings.place.node;
+        gate.isolation.update(own, silence, &table.live);
+    }
     let offset = table.config.next;
     if current.is_none_or(|c| c.config.next != offset) {
         gate.kernel
--- a/lib/src/once_dispatch.rs
+++ b/lib/src/once_dispatch.rs
@@ -16,13 +16,16 @@
 use crate::Gate;
 use crate::IDEMPOTENCY_HEADER;
 use crate::KeySupport;
+use crate::Outcome;
 use crate::Reuse;
+use crate::SampleOutcome;
 use crate::StoredReply;
 use crate::attempt;
 use crate::attempt::Answer;
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::router;
+use crate::run;
 use crate::token_hash;
 
 /// Endpoints tried while none can have seen the call.
@@ -67,6 +70,9 @@
 pub(crate) async fn dispatch_once(gate: &Gate, call: &Call, attempt: AttemptId) -> Dispatched {
     let mut tried = Vec::new();
     let mut detail = String::from("no endpoint takes new work");
+    if let Err(error) = run::check_crashes(gate, call) {
+        return Dispatched::Unsent(error.with_outcome(Outcome::NotRun));
+    }
     while tried.len() < MAX_ENDPOINTS {
         if Instant::now() >= call.deadline {
             let detail = "the deadline passed before the call was sent";
@@ -86,7 +92,7 @@
             ],
         );
         let until = call.deadline + RESULT_GRACE;
-        match send(gate, &endpoint, call, attempt, until).await {
+        match send_judged(gate, &endpoint, call, attempt, until).await {
             Ok(reply) => return Dispatched::Answered(reply),
             Err(error) if error.is_unsent() => {
                 detail = error.to_string();
@@ -103,6 +109,34 @@
     router::choose(gate, &table, call, None, tried)
 }
 
+/// Sends one attempt and counts it as evidence about the endpoint's version.
+///
+/// An attempt that is still silent at the call's deadline counts at once, though its answer is
+/// awaited longer.
+async fn send_judged(
+    gate: &Gate,
+    endpoint: &Endpoint,
+    call: &Call,
+    attempt: AttemptId,
+    until: Instant,
+) -> Result<StoredReply, AttemptError> {
+    let started = Instant::now();
+    let mut sent = Box::pin(send(gate, endpoint, call, attempt, until));
+    let in_time = tokio::time::timeout_at(call.deadline, &mut sent).await;
+    let Ok(result) = in_time else {
+        run::judge(gate, call, endpoint, SampleOutcome::Failed, started.elapsed());
+        return sent.await;
+    };
+    match &result {
+        Ok(reply) if reply.status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16() => {
+            run::judge(gate, call, endpoint, SampleOutcome::Failed, started.elapsed());
+        }
+        Ok(_) => run::judge(gate, call, endpoint, SampleOutcome::Ok, started.elapsed()),
+        Err(error) => run::blame(gate, call, endpoint, error).await,
+    }
+    result
+}
+
 /// Sends one attempt on a new connection, since an idle one may be silently cut.
 async fn send(
     gate: &Gate,
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -71,7 +71,8 @@
     }
 }
 
-fn check_crashes(gate: &Gate, call: &Call) -> Result<()> {
+/// Refuses a call that has crashed too many endpoints.
+pub(crate) fn check_crashes(gate: &Gate, call: &Call) -> Result<()> {
     let table = gate.table();
     gate.crashes
         .check(call.digest(), table.as_ref().map(|t| &t.live))
@@ -147,7 +148,7 @@
 }
 
 /// Records what a failed attempt says of the version and of the request.
-async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
+pub(crate) async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
     match error {
         AttemptError::Unsent(_) | AttemptError::Status(_) => {}
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
@@ -161,7 +162,8 @@
     }
 }
 
-fn judge(
+/// Counts an attempt as evidence about the endpoint's version.
+pub(crate) fn judge(
     gate: &Gate,
     call: &Call,
     endpoint: &Endpoint,
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -140,6 +140,10 @@
     pub offset: Offset,
     /// Configuration, when it changed since the previous message of this subscription.
     pub config: Option<Arc<ConfigState>>,
+    /// Time since the sender heard from the log or from a peer, in milliseconds; absent when it
+    /// is the whole deployment.
+    #[serde(default)]
+    pub silence_ms: Option<u64>,
     /// What changed of the facts that change without the log.
     pub live: LiveDelta,
 }
--- a/lib/src/table_rpc.rs
+++ b/lib/src/table_rpc.rs
@@ -29,6 +29,7 @@
 use crate::Stage;
 use crate::Stamp;
 use crate::TableUpdate;
+use crate::millis;
 
 /// Time between two messages of a subscription when nothing changes.
 pub const TABLE_HEARTBEAT: Duration = Duration::from_secs(1);
@@ -57,7 +58,8 @@
 /// Calls of gates on a controller.
 #[rpc(client, server, namespace = "table")]
 pub trait TableRpc {
-    /// Returns the offset of the next configuration record, if any configuration is in force.
+    /// Returns the offset of the next configuration record, if any configuration is in force
+    /// and the controller is not isolated.
     #[method(name = "offset")]
     async fn offset(&self) -> RpcResult<Option<Offset>>;
 
@@ -65,7 +67,8 @@
     #[method(name = "report")]
     async fn report(&self, report: GateReport) -> RpcResult<HybridTime>;
 
-    /// Sends the routing table, then every change of it, and a heartbeat between.
+    /// Sends the routing table, then every change of it, and a heartbeat between; ends when
+    /// the controller is isolated, so that gates look for another one.
     #[subscription(name = "subscribe" => "update", unsubscribe = "unsubscribe", item = TableUpdate)]
     async fn table(&self, hello: GateHello) -> SubscriptionResult;
 }
@@ -133,7 +136,11 @@
 #[async_trait]
 impl TableRpcServer for TableService {
     async fn offset(&self) -> RpcResult<Option<Offset>> {
-        Ok(self.controller.config().map(|config| config.next))
+        let controller = &self.controller;
+        let config = controller
+            .config()
+            .filter(|_| !controller.contact.is_isolated());
+        Ok(config.map(|config| config.next))
     }
 
     async fn report(&self, report: GateReport) -> RpcResult<HybridTime> {
@@ -159,12 +166,13 @@
     }
 }
 
+/// Sends updates until the subscription closes or this node is isolated.
 async fn send_updates(controller: &Controller, sink: &SubscriptionSink) {
     let mut configs = controller.subscribe_config();
     let mut lives = controller.subscribe_live();
     let mut sent: Option<Offset> = None;
     let mut sent_live: Option<Arc<LiveView>> = None;
-    loop {
+    while !controller.contact.is_isolated() {
         let config = configs.borrow_and_update().clone();
         let live = lives.borrow_and_update().clone();
         if let Some(config) = config {
@@ -172,6 +180,7 @@
             let update = TableUpdate {
                 offset: config.next,
                 config: changed.then(|| Arc::new(without_verdicts(&config))),
+                silence_ms: controller.contact.silence().map(millis),
                 live: LiveDelta::between(sent_live.as_deref(), &live),
             };
             sent = Some(config.next);
--- a/programs/tests/testutils/deployment.rs
+++ b/programs/tests/testutils/deployment.rs
@@ -63,8 +63,8 @@
 /// One entry VM: a controller and a gate, reached through links of the proxy.
 ///
 /// The links are named `log-I` (controller to log), `cloud-I` (controller to cloud), `rpc-I`
-/// (others to the controller), `gate-I` (callers to the gate) and `handover-I` (gates to the
-/// gate).
+/// (others to the controller), `own-I` (the gate to the controller), `gate-I` (callers to the
+/// gate) and `handover-I` (gates to the gate).
 pub struct Entry {
     /// Index of the entry.
     pub index: usize,
@@ -150,6 +150,7 @@
             .link(&format!("cloud-{index}"), Some(cloud))
             .await;
         let rpc = self.proxy.link(&format!("rpc-{index}"), None).await;
+        self.proxy.link(&format!("own-{index}"), None).await;
         let callers = self.proxy.link(&format!("gate-{index}"), None).await;
         self.proxy.link(&format!("handover-{index}"), None).await;
         let vm = json!({
@@ -159,7 +160,7 @@
         });
         self.control_cloud("/control/vms", &vm).await;
         let controller = self.start_controller(index, rpc).await;
-        let gate = self.start_gate(index, rpc, callers).await;
+        let gate = self.start_gate(index, callers).await;
         self.entries.push(Entry {
             index,
             controller,
@@ -178,8 +179,8 @@
 
     /// Starts the gate of an entry again, as after a restart of the process.
     pub async fn restart_gate(&mut self, index: usize) {
-        let (rpc, callers) = (self.entries[index].rpc, self.entries[index].callers);
-        let gate = self.start_gate(index, rpc, callers).await;
+        let callers = self.entries[index].callers;
+        let gate = self.start_gate(index, callers).await;
         self.entries[index].gate = gate;
     }
 
@@ -205,19 +206,22 @@
             self.control,
         );
         let process = self.start_program(CONTROLLER, &text);
-        let link = format!("rpc-{index}");
-        self.proxy.set_target(&link, process.address("rpc")).await;
+        for link in [format!("rpc-{index}"), format!("own-{index}")] {
+            self.proxy.set_target(&link, process.address("rpc")).await;
+        }
         process
     }
 
-    async fn start_gate(&mut self, index: usize, rpc: SocketAddr, callers: SocketAddr) -> Process {
+    async fn start_gate(&mut self, index: usize, callers: SocketAddr) -> Process {
         let links = self.proxy.links().await;
+        let address = |name: &str| links.iter().find(|l| l.name == name).unwrap().listen;
         let handover = format!("handover-{index}");
-        let peer = links.iter().find(|l| l.name == handover).unwrap().listen;
+        let peer = address(&handover);
+        let own = address(&format!("own-{index}"));
         let text = format!(
             "listen = \"127.0.0.1:0\"\nrpc = \"127.0.0.1:0\"\nops = \"127.0.0.1:0\"\n\
              advertise = \"{callers}\"\nrpc_advertise = \"{peer}\"\n\
-             controllers = [\"{rpc}\"]\nsecret_file = \"{}\"\n{}\n",
+             controllers = [\"{own}\"]\nsecret_file = \"{}\"\n{}\n",
             self.secret.path().display(),
             place(index),
         );
--- a/programs/tests/testutils/gates.rs
+++ b/programs/tests/testutils/gates.rs
@@ -81,6 +81,7 @@
         TableUpdate {
             offset: self.offset,
             config: self.config.clone(),
+            silence_ms: None,
             live: LiveDelta::between(None, &self.live),
         }
     }
