--- a/programs/tests/test_membership.rs
+++ b/programs/tests/test_membership.rs
@@ -15,7 +15,6 @@
 use serde_json::json;
 
 use testutils::Call;
-use testutils::LIMIT;
 use testutils::deployment::Deployment;
 use testutils::deployment::TOKEN;
 use testutils::deployment::operator;
