--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -30,7 +30,9 @@
 use crate::lease_keeper;
 use crate::lease_keeper::LeaseStore;
 use crate::live_store::LiveStore;
+use crate::metrics::Metrics;
 use crate::operator_access::serve_operators;
+use crate::ops::serve_ops;
 use crate::rpc_server::serve_rpc;
 
 /// Time for which a stop waits until peers have heard of it.
@@ -49,6 +51,7 @@
     pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
     pub(crate) contact: Contact,
+    pub(crate) metrics: Metrics,
     pub(crate) leases: LeaseStore,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
@@ -63,6 +66,8 @@
     pub rpc: SocketAddr,
     /// Operators' RPC port.
     pub operators: SocketAddr,
+    /// Port for metrics and health.
+    pub ops: SocketAddr,
 }
 
 impl Controller {
@@ -89,15 +94,18 @@
         let key = SharedKey::read(&settings.secret_file)?;
         let rpc = bind(settings.rpc).await?;
         let operators = bind(settings.operators).await?;
+        let ops = bind(settings.ops).await?;
         let addrs = ControllerAddrs {
             rpc: bound(&rpc)?,
             operators: bound(&operators)?,
+            ops: bound(&ops)?,
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let own = own_member(&settings, addrs, kernel.clock.now());
         let live = LiveStore::new(own, kernel.clock, kernel.events.clone());
         let contact = Contact::new(!settings.peers.is_empty());
         let controller = Arc::new(Self {
+            metrics: Metrics::new()?,
             kernel,
             settings,
             addrs,
@@ -112,6 +120,7 @@
         controller.start_plugins()?;
         controller.serve_rpc(rpc, key)?;
         serve_operators(&controller, operators);
+        serve_ops(&controller.kernel, ops, Arc::clone(&controller));
         Ok(controller)
     }
 
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -33,8 +33,11 @@
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
 use crate::isolation::Isolation;
+use crate::metrics::Metrics;
+use crate::metrics::RequestMetrics;
 use crate::once;
 use crate::once::Once;
+use crate::ops::serve_ops;
 use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
 use crate::rpc_server::serve_rpc;
@@ -64,6 +67,8 @@
     pub(crate) key: SharedKey,
     pub(crate) budget: RetryBudget,
     pub(crate) counters: GateCounters,
+    pub(crate) metrics: Metrics,
+    pub(crate) requests: RequestMetrics,
     pub(crate) crashes: Crashes,
     pub(crate) evidence: EvidenceRecorder,
     pub(crate) handed: HandedStates,
@@ -84,6 +89,8 @@
     pub callers: SocketAddr,
     /// RPC port for other gates.
     pub rpc: SocketAddr,
+    /// Port for metrics and health.
+    pub ops: SocketAddr,
 }
 
 impl Gate {
@@ -97,9 +104,12 @@
         let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
+        let ops = bind(settings.ops).await?;
+        let metrics = Metrics::new()?;
         let addrs = GateAddrs {
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
+            ops: bound(&ops)?,
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
@@ -117,6 +127,8 @@
             key: key.clone(),
             budget: RetryBudget::default(),
             counters: GateCounters::default(),
+            requests: RequestMetrics::new(&metrics),
+            metrics,
             crashes: Crashes::default(),
             handed: HandedStates::default(),
             isolation: Isolation::default(),
@@ -131,6 +143,7 @@
         }
         gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
+        serve_ops(&gate.kernel, ops, Arc::clone(&gate));
         Ok(gate)
     }
 
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -1,6 +1,7 @@
 //! Answers callers' HTTP requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::HeaderMap;
 use hyper::Method;
@@ -11,6 +12,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::LINK;
+use tokio::time::Instant;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -19,6 +21,7 @@
 use crate::Result;
 use crate::RoutingTable;
 use crate::ServiceKind;
+use crate::ServiceName;
 use crate::call;
 use crate::entries::entry_answer;
 use crate::hand_over;
@@ -34,10 +37,13 @@
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
     let version = request.version();
+    let started = Instant::now();
+    let service = service_of(&gate, &request);
     let mut response = match try_answer(Arc::clone(&gate), request).await {
         Ok(response) => response,
         Err(error) => problem(&error),
     };
+    count(&gate, service.as_ref(), response.status().as_u16(), started);
     if version <= Version::HTTP_11 && !gate.info().accepting {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -45,6 +51,23 @@
     response
 }
 
+/// Returns the service that a request is for, if it exists.
+fn service_of(gate: &Gate, request: &Request<Incoming>) -> Option<(ServiceName, Duration)> {
+    let name = request.uri().path().split('/').nth(1)?;
+    let name = ServiceName::new(name).ok()?;
+    let table = gate.table()?;
+    let service = &table.config.services.get(&name)?.value;
+    Some((name, service.target))
+}
+
+fn count(gate: &Gate, service: Option<&(ServiceName, Duration)>, status: u16, started: Instant) {
+    let spent = started.elapsed();
+    let name = service.map_or("", |(name, _)| name.as_str());
+    let in_target = service.is_some_and(|(_, target)| spent <= *target);
+    gate.requests
+        .answered(status, name, spent.as_secs_f64(), in_target);
+}
+
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
     check_headers(request.headers(), gate.settings.limits.headers)?;
     let table = gate
--- a/programs/src/bin/hawthorn-controller.rs
+++ b/programs/src/bin/hawthorn-controller.rs
@@ -47,6 +47,7 @@
     let addrs = controller.addrs();
     print_ready(&BTreeMap::from([
         ("operators", addrs.operators),
+        ("ops", addrs.ops),
         ("rpc", addrs.rpc),
     ]));
     wait_for_stop().await;
--- a/programs/src/bin/hawthorn-gate.rs
+++ b/programs/src/bin/hawthorn-gate.rs
@@ -45,6 +45,7 @@
     let addrs = gate.addrs();
     print_ready(&BTreeMap::from([
         ("callers", addrs.callers),
+        ("ops", addrs.ops),
         ("rpc", addrs.rpc),
     ]));
     wait_for_stop().await;
