--- a/programs/tests/test_lease.rs
+++ b/programs/tests/test_lease.rs
@@ -35,6 +35,9 @@
 /// margin, an order in flight and a term for each candidate before the second, with slack.
 const TAKEOVER_LIMIT: Duration = Duration::from_secs(15);
 
+/// Time after which controllers start machines without a lease.
+const LOG_SILENCE: Duration = Duration::from_secs(6);
+
 /// Time for which an endpoint is watched after the old holder goes on.
 const WATCH: Duration = Duration::from_secs(4);
 
@@ -265,7 +268,9 @@
     })
     .await;
     deployment.proxy.set_modes("log-", LinkMode::Refuse).await;
-    // All three controllers list the machines before any start shows, and one answer is lost.
+    // Without the log every controller may start machines after a while. All three list the
+    // machines before any start shows, and one answer is lost.
+    tokio::time::sleep(LOG_SILENCE).await;
     deployment
         .proxy
         .set_modes("cloud-", LinkMode::Delay(250))
