--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::header::LINK;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -16,6 +18,7 @@
 use crate::ReplyBody;
 use crate::Result;
 use crate::RoutingTable;
+use crate::ServiceKind;
 use crate::call;
 use crate::entries::entry_answer;
 use crate::hand_over;
@@ -43,23 +46,35 @@
 }
 
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
+    check_headers(request.headers(), gate.settings.limits.headers)?;
     let table = gate
         .table()
         .ok_or_else(|| Error::new(ErrorKind::NotReady, "no configuration is in force yet"))?;
     if request.uri().path() == ENTRIES_PATH {
-        return list_entries(&table, &request);
+        return list_entries(&gate, &table, &request);
+    }
+    if gate.isolation.is_isolated() {
+        return Ok(withdraw(&gate));
     }
     if let Some(response) = leave(&gate, &table, &request)? {
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
-    if !call.is_repeatable() {
-        return once::run_once(&gate, call).await;
+    match call.service.kind {
+        ServiceKind::Model => model_call::run(&gate, call).await,
+        ServiceKind::Plain if call.is_repeatable() => run::run(&gate, call).await,
+        ServiceKind::Plain => once::run_once(&gate, call).await,
     }
-    if model_call::is_completion(&call) {
-        return model_call::run(&gate, call).await;
+}
+
+/// Checks the size of a header section.
+fn check_headers(headers: &HeaderMap, limit: usize) -> Result<()> {
+    let size = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
+    if size.sum::<usize>() > limit {
+        let detail = format!("the headers may have at most {limit} bytes");
+        return Err(Error::new(ErrorKind::HeadersTooLarge, detail));
     }
-    run::run(&gate, call).await
+    Ok(())
 }
 
 /// Sends a caller to another gate when this one's machine is under notice.
@@ -83,7 +98,27 @@
     response.map(Some).ok_or_else(refusal)
 }
 
-fn list_entries(table: &RoutingTable, request: &Request<Incoming>) -> Result<Response<ReplyBody>> {
+/// Refuses a request because a newer configuration may be in force elsewhere, and names the
+/// other entries.
+fn withdraw(gate: &Gate) -> Response<ReplyBody> {
+    let detail = "this entry can reach neither the log nor its peers; use another one";
+    let mut response = problem(&Error::new(ErrorKind::NotReady, detail));
+    let links = gate.isolation.others();
+    let links = links
+        .iter()
+        .map(|a| format!("<http://{a}>; rel=\"alternate\""));
+    let links = links.collect::<Vec<_>>().join(", ");
+    if let Ok(value) = HeaderValue::from_str(&links) {
+        response.headers_mut().insert(LINK, value);
+    }
+    response
+}
+
+fn list_entries(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+) -> Result<Response<ReplyBody>> {
     if request.method() != Method::GET {
         return Err(Error::new(
             ErrorKind::MethodNotAllowed,
@@ -91,5 +126,9 @@
         ));
     }
     let customer = call::customer(table, request.headers())?;
-    Ok(entry_answer(&rank_entries(table, &customer)))
+    let mut list = rank_entries(table, &customer);
+    if gate.isolation.is_isolated() {
+        list.entries = gate.isolation.others();
+    }
+    Ok(entry_answer(&list))
 }
