--- a/lib/src/lease_keeper.rs
+++ b/lib/src/lease_keeper.rs
@@ -18,16 +18,15 @@
 use crate::Epoch;
 use crate::Error;
 use crate::ErrorKind;
-use crate::Lease;
 use crate::LeaseChange;
 use crate::LeaseRow;
 use crate::LeaseState;
 use crate::LeaseStep;
 use crate::LeaseView;
+use crate::LeaseWatch;
 use crate::MemberState;
 use crate::Offset;
 use crate::RENEWALS_PER_TERM;
-use crate::RecordId;
 use crate::Result;
 use crate::Service;
 use crate::Stage;
@@ -42,9 +41,6 @@
 /// Members that may take a lease.
 const CANDIDATES: usize = 3;
 
-/// Requests to the log remembered for one lease.
-const ASKED_KEPT: usize = 32;
-
 /// Time between two looks at the leases.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -60,25 +56,11 @@
     }
 }
 
-/// What this process knows of one duty beyond the fold; times are by its own clock.
-#[derive(Clone, Debug)]
-struct Watched {
-    /// Newest record of the lease, and when it was seen.
-    last: Option<Offset>,
-    seen: Instant,
-    /// Records that this process asked the log for, and when; the newest last.
-    asked: Vec<(RecordId, Instant)>,
-    /// Lease granted to this process, and the time until which it may act.
-    held: Option<(Epoch, Instant)>,
-    /// Whether the end of the present term has been recorded.
-    lapsed: bool,
-}
-
 /// Leases at this node.
 #[derive(Debug)]
 pub(crate) struct LeaseStore {
     fold: FoldStore<LeaseState>,
-    watched: Mutex<IndexMap<Duty, Watched>>,
+    watched: Mutex<IndexMap<Duty, LeaseWatch>>,
 }
 
 impl LeaseStore {
@@ -101,8 +83,7 @@
     /// Returns the epoch under which this node may act on a duty for a while from now on.
     pub(crate) fn may_act_for(&self, duty: &Duty, span: Duration) -> Option<Epoch> {
         let watched = self.watched.lock();
-        let (epoch, until) = watched.get(duty)?.held?;
-        (Instant::now() + span < until).then_some(epoch)
+        watched.get(duty)?.may_act(Instant::now(), span)
     }
 
     /// Returns the leases that are not released, as the log records them.
@@ -119,49 +100,6 @@
     }
 }
 
-impl Watched {
-    fn new(now: Instant) -> Self {
-        Self {
-            last: None,
-            seen: now,
-            asked: Vec::new(),
-            held: None,
-            lapsed: false,
-        }
-    }
-
-    /// Takes note of the lease's newest record.
-    fn look(&mut self, lease: Option<&Lease>, margin: Duration, now: Instant) -> Option<Epoch> {
-        let last = lease.map(|l| l.last);
-        if last == self.last {
-            return None;
-        }
-        self.last = last;
-        self.seen = now;
-        let before = self.held.map(|(epoch, _)| epoch);
-        self.held = lease.and_then(|l| self.granted(l, margin));
-        self.lapsed = false;
-        let held = self.held.map(|(epoch, _)| epoch);
-        held.filter(|_| held != before)
-    }
-
-    fn ask(&mut self, id: RecordId, now: Instant) {
-        if self.asked.len() == ASKED_KEPT {
-            self.asked.remove(0);
-        }
-        self.asked.push((id, now));
-    }
-
-    /// Returns the epoch and the end of the time to act when this process asked for the
-    /// lease's newest record.
-    fn granted(&mut self, lease: &Lease, margin: Duration) -> Option<(Epoch, Instant)> {
-        let index = self.asked.iter().position(|(id, _)| *id == lease.record)?;
-        let (_, at) = self.asked[index];
-        self.asked.drain(..index);
-        (!lease.released).then(|| (lease.epoch, at + lease.term.saturating_sub(margin)))
-    }
-}
-
 fn start(controller: &Arc<Controller>) -> Result<()> {
     check_term(&controller.settings.control)?;
     let tail = Arc::clone(controller);
@@ -219,11 +157,9 @@
     let mut guard = controller.leases.watched.lock();
     let watched = guard
         .entry(duty.clone())
-        .or_insert_with(|| Watched::new(now));
+        .or_insert_with(|| LeaseWatch::new(now));
     let acquired = watched.look(lease.as_ref(), control.margin, now);
-    let lapsed = watched.held.filter(|(_, until)| now >= *until);
-    let is_news = lapsed.is_some() && !watched.lapsed;
-    watched.lapsed |= lapsed.is_some();
+    let lapsed = watched.take_lapse(now);
     let in_flight = if service.fenced {
         Duration::ZERO
     } else {
@@ -231,9 +167,9 @@
     };
     let step = decide_lease(&LeaseView {
         lease: lease.as_ref(),
-        is_own: watched.held.is_some(),
-        seen: now - watched.seen,
-        asked: watched.asked.last().map(|(_, at)| now - *at),
+        is_own: watched.is_own(),
+        seen: watched.seen(now),
+        asked: watched.asked(now),
         rank,
         is_leaving: is_leaving(controller),
         term: control.term,
@@ -244,7 +180,7 @@
     if let Some(epoch) = acquired {
         record(controller, "lease.acquired", &duty, epoch);
     }
-    if let Some((epoch, _)) = lapsed.filter(|_| is_news) {
+    if let Some(epoch) = lapsed {
         record(controller, "lease.lapsed", &duty, epoch);
     }
     take_step(controller, duty, step, next);
@@ -304,7 +240,7 @@
         // The term counts from before the log is asked.
         watched.ask(envelope.id, Instant::now());
         if matches!(step, LeaseStep::Release(_)) {
-            watched.held = None;
+            watched.give_up();
         }
     }
     let task = Arc::clone(controller);
@@ -322,7 +258,7 @@
     let held: Vec<(Duty, Epoch)> = {
         let mut watched = controller.leases.watched.lock();
         let held = watched.iter_mut();
-        held.filter_map(|(duty, w)| Some((duty.clone(), w.held.take()?.0)))
+        held.filter_map(|(duty, w)| Some((duty.clone(), w.give_up()?)))
             .collect()
     };
     if held.is_empty() {
