gate: admission with learnt limits, fair queue and prefix affinity

The process test of hopeless waits first failed: the prediction left out the request's own time, and a call admitted shortly before its deadline ended as

504: deadline_exceeded, the endpoint made no progress in time, outcome unknown

Now the request's own time and one request ahead of it are counted.

--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -191,7 +191,7 @@
     if let Ok(id) = attempt.to_string().parse() {
         headers.insert(ATTEMPT_HEADER, id);
     }
-    let priority = match call.route.priority {
+    let priority = match call.priority() {
         Priority::Interactive => "interactive",
         Priority::Deferred => "deferred",
     };
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -13,6 +13,8 @@
 use crate::Error;
 use crate::ErrorKind;
 use crate::LimitSettings;
+use crate::PRIORITY_HEADER;
+use crate::Priority;
 use crate::RequestId;
 use crate::Result;
 use crate::Route;
@@ -48,6 +50,8 @@
     pub(crate) body: Bytes,
     /// Time at which the answer must be complete.
     pub(crate) deadline: Instant,
+    /// Hash of the beginning of the prompt.
+    pub(crate) affinity: Option<u64>,
 }
 
 impl Call {
@@ -56,6 +60,15 @@
         self.route.repeatable || self.method == Method::GET || self.method == Method::HEAD
     }
 
+    /// Returns the call's urgency; a caller may lower that of the route.
+    pub(crate) fn priority(&self) -> Priority {
+        let asked = self.headers.get(PRIORITY_HEADER);
+        if asked.is_some_and(|v| v.as_bytes() == b"deferred") {
+            return Priority::Deferred;
+        }
+        self.route.priority
+    }
+
     /// Returns a digest of the request and its customer.
     pub(crate) fn digest(&self) -> u64 {
         let head = format!(
@@ -131,6 +144,7 @@
         path,
         headers: parts.headers,
         body,
+        affinity: None,
     })
 }
 
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -12,6 +12,15 @@
 /// Most tokens that a caller may ask for.
 const MAX_TOKENS: u32 = 1_000_000;
 
+/// Bytes of text taken for one token.
+const TOKEN_BYTES: f64 = 4.0;
+
+/// Cost of a prompt token, in generated tokens.
+const PROMPT_COST: f64 = 0.125;
+
+/// Length of the beginning of a prompt by which requests are brought together, in bytes.
+const PREFIX_BYTES: usize = 256;
+
 /// Field of a resumed request that holds the text that the caller has.
 const RESUME_TEXT: &str = "resume_text";
 
@@ -66,6 +75,19 @@
         Bytes::from(serde_json::to_vec(&fields).unwrap_or_default())
     }
 
+    /// Returns the cost in tokens; a prompt token costs an eighth of a generated one.
+    pub(crate) fn cost(&self) -> f64 {
+        let prompt = self.known.prompt.len() as f64 / TOKEN_BYTES;
+        f64::from(self.known.max_tokens) + prompt * PROMPT_COST
+    }
+
+    /// Returns a hash of the beginning of the prompt, which requests with the same
+    /// instructions share.
+    pub(crate) fn affinity(&self) -> u64 {
+        let prompt = self.known.prompt.as_bytes();
+        xxhash_rust::xxh3::xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)])
+    }
+
     /// Returns a digest of the request without the text that the caller already has.
     pub(crate) fn digest(&self) -> u64 {
         let bytes = serde_json::to_vec(&self.fields).unwrap_or_default();
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -7,8 +7,10 @@
 use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::Endpoint;
+use crate::EndpointName;
 use crate::EvidenceRecorder;
 use crate::EvidenceRow;
 use crate::GateCounts;
@@ -24,6 +26,9 @@
 use crate::ServerLimits;
 use crate::SharedKey;
 use crate::Timestamp;
+use crate::admission::Admission;
+use crate::call::Call;
+use crate::concurrency_limit::EndpointLimits;
 use crate::controller::bind;
 use crate::controller::bound;
 use crate::controller::internal;
@@ -62,6 +67,8 @@
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     pub(crate) key: SharedKey,
     pub(crate) budget: RetryBudget,
+    pub(crate) admission: Admission,
+    pub(crate) limits: EndpointLimits,
     pub(crate) counters: GateCounters,
     pub(crate) crashes: Crashes,
     pub(crate) evidence: EvidenceRecorder,
@@ -100,6 +107,7 @@
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
+        let routing = settings.routing;
         let gate = Arc::new(Self {
             evidence: EvidenceRecorder::new(kernel.clock),
             kernel,
@@ -113,6 +121,8 @@
             table: watch::Sender::new(None),
             key: key.clone(),
             budget: RetryBudget::default(),
+            admission: Admission::default(),
+            limits: EndpointLimits::new(routing.limit, routing.concurrency),
             counters: GateCounters::default(),
             crashes: Crashes::default(),
             handed: HandedStates::default(),
@@ -207,6 +217,15 @@
         self.touch();
     }
 
+    /// Takes the time to the first byte of an answer into the limit of its endpoint.
+    pub(crate) fn learn(&self, endpoint: &EndpointName, call: &Call, first_byte: Duration) {
+        let running = self.in_flight.on(endpoint);
+        let target = call.service.target;
+        self.limits.update(endpoint, |limit| {
+            limit.answered(Instant::now(), running, first_byte, target);
+        });
+    }
+
     /// Tells whether the gate is being stopped.
     pub(crate) fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -18,7 +18,10 @@
 use crate::Result;
 use crate::RoutingTable;
 use crate::ServiceKind;
+use crate::admission;
+use crate::admission::Admitted;
 use crate::call;
+use crate::call::Call;
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
@@ -30,6 +33,9 @@
 /// Path of the list of entries.
 const ENTRIES_PATH: &str = "/v1/entries";
 
+/// Cost of a plain call, in tokens.
+const PLAIN_COST: f64 = 1.0;
+
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
     let version = request.version();
@@ -58,11 +64,36 @@
     let call = call::receive(&table, gate.settings.limits, request).await?;
     match call.service.kind {
         ServiceKind::Model => model_call::run(&gate, call).await,
-        ServiceKind::Plain if call.is_repeatable() => run::run(&gate, call).await,
-        ServiceKind::Plain => once::run_once(&gate, call).await,
+        ServiceKind::Plain => run_plain(&gate, call).await,
     }
 }
 
+async fn run_plain(gate: &Arc<Gate>, call: Call) -> Result<Response<ReplyBody>> {
+    let permit = match admission::admit(gate, &call, PLAIN_COST).await? {
+        Admitted::Now(permit) => permit,
+        Admitted::Leaving => {
+            let path = format!("/{}/{}", call.service.name, call.path);
+            let table = gate.table();
+            let response = table.and_then(|t| hand_over::redirect(gate, &t, &call.customer, &path));
+            return response.ok_or_else(no_peer);
+        }
+    };
+    let response = if call.is_repeatable() {
+        run::run(gate, call).await?
+    } else {
+        once::run_once(gate, call).await?
+    };
+    permit.finish();
+    Ok(response)
+}
+
+fn no_peer() -> Error {
+    Error::new(
+        ErrorKind::Leaving,
+        "this machine ends and no other takes over",
+    )
+}
+
 /// Checks the size of a header section.
 fn check_headers(headers: &HeaderMap, limit: usize) -> Result<()> {
     let size = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
@@ -85,13 +116,7 @@
     let customer = call::customer(table, request.headers())?;
     let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
     let response = hand_over::redirect(gate, table, &customer, path);
-    let refusal = || {
-        Error::new(
-            ErrorKind::Leaving,
-            "this machine ends and no other takes over",
-        )
-    };
-    response.map(Some).ok_or_else(refusal)
+    response.map(Some).ok_or_else(no_peer)
 }
 
 fn list_entries(table: &RoutingTable, request: &Request<Incoming>) -> Result<Response<ReplyBody>> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! The library knows nothing of command lines; the programs are thin binaries over it.
 
+mod admission;
 mod append_batcher;
 mod attempt;
+mod balance;
 mod call;
 mod checkpoint;
 mod checkpoint_writer;
@@ -15,6 +17,7 @@
 mod claim_state;
 mod claim_tail;
 mod completion;
+mod concurrency_limit;
 mod config_store;
 mod config_submit;
 mod config_tail;
@@ -33,6 +36,7 @@
 mod evidence;
 mod fact;
 mod fact_store;
+mod fair_queue;
 mod fleet;
 mod fleet_slot;
 mod fleet_vms;
@@ -99,10 +103,13 @@
 mod time;
 mod token;
 
+pub use balance::*;
 pub use checkpoint::*;
 pub use claim_holder::Progress;
 pub use claim_rpc::*;
 pub use claim_state::*;
+pub use concurrency_limit::ConcurrencyLimit;
+pub use concurrency_limit::LimitPolicy;
 pub use contact::ISOLATION_LIMIT;
 pub use controller::*;
 pub use counters::GateCounts;
@@ -116,6 +123,7 @@
 pub use evidence::*;
 pub use fact::*;
 pub use fact_store::FactStore;
+pub use fair_queue::*;
 pub use fleet_slot::*;
 pub use fold_clock::*;
 pub use gate::*;
--- a/lib/src/model_call.rs
+++ b/lib/src/model_call.rs
@@ -74,6 +74,7 @@
 pub(crate) async fn run(gate: &Arc<Gate>, mut call: Call) -> Result<Response<ReplyBody>> {
     check_target(&call)?;
     let wanted = Completion::parse(&call.body)?;
+    call.affinity = Some(wanted.affinity());
     let resume = resume_token(gate, &mut call)?;
     if let Some(token) = &resume {
         check_token(token, &call, &wanted)?;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -2,14 +2,17 @@
 
 use rand::Rng;
 
+use crate::Candidate;
 use crate::Endpoint;
 use crate::EndpointName;
 use crate::FULL_SHARE;
 use crate::Gate;
 use crate::RoutingTable;
 use crate::Service;
+use crate::ServiceName;
 use crate::VersionName;
 use crate::call::Call;
+use crate::choose_endpoint;
 use crate::in_flight::InFlight;
 use crate::shares_now;
 
@@ -52,15 +55,45 @@
     order
         .map(|version| usable(table, service, version, excluded))
         .find_map(|endpoints| {
-            let load = &gate.in_flight;
             if is_suspect {
-                least_loaded(&endpoints, load).cloned()
+                least_loaded(&endpoints, &gate.in_flight).cloned()
             } else {
-                two_choices(&endpoints, load).cloned()
+                balanced(gate, &endpoints, call.affinity).cloned()
             }
         })
 }
 
+fn balanced<'a>(
+    gate: &Gate,
+    usable: &[&'a Endpoint],
+    affinity: Option<u64>,
+) -> Option<&'a Endpoint> {
+    let candidates: Vec<Candidate<'_>> = usable
+        .iter()
+        .map(|e| Candidate {
+            name: &e.name,
+            running: gate.in_flight.on(&e.name),
+            limit: gate.limits.of(&e.name),
+        })
+        .collect();
+    let policy = gate.settings.routing.balance;
+    choose_endpoint(policy, &candidates, affinity).map(|index| usable[index])
+}
+
+/// Returns the endpoints of a service that take new work, of all versions with a share.
+pub(crate) fn served<'a>(table: &'a RoutingTable, name: &ServiceName) -> Vec<&'a Endpoint> {
+    let Some(service) = table.config.services.get(name) else {
+        return Vec::new();
+    };
+    let running = table.config.running_move(name);
+    let shares = shares_now(&service.value, running, &table.live);
+    shares
+        .iter()
+        .filter(|(_, share)| *share > 0)
+        .flat_map(|(version, _)| usable(table, &service.value, version, &[]))
+        .collect()
+}
+
 /// Chooses the least loaded endpoint, so that requests under suspicion of crashing endpoints
 /// keep apart from others.
 fn least_loaded<'a>(usable: &[&'a Endpoint], load: &InFlight) -> Option<&'a Endpoint> {
@@ -81,7 +114,7 @@
 }
 
 /// Returns the endpoints of a version that take new work.
-pub(crate) fn usable<'a>(
+fn usable<'a>(
     table: &'a RoutingTable,
     service: &Service,
     version: &VersionName,
@@ -98,30 +131,7 @@
         .collect()
 }
 
-/// Chooses the less loaded of two random endpoints.
-///
-/// Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
-pub(crate) fn two_choices<'a>(usable: &[&'a Endpoint], load: &InFlight) -> Option<&'a Endpoint> {
-    let mut rng = rand::rng();
-    match usable {
-        [] => None,
-        [only] => Some(only),
-        _ => {
-            let first = rng.random_range(0..usable.len());
-            let step = rng.random_range(1..usable.len());
-            let second = (first + step) % usable.len();
-            let (a, b) = (usable[first], usable[second]);
-            let better = if load.on(&b.name) < load.on(&a.name) {
-                b
-            } else {
-                a
-            };
-            Some(better)
-        }
-    }
-}
-
 /// Draws a request's place on the scale of shares.
-pub(crate) fn random_point() -> u32 {
+fn random_point() -> u32 {
     rand::rng().random_range(0..FULL_SHARE)
 }
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -115,6 +115,7 @@
         SampleOutcome::Ok
     };
     judge(gate, call, endpoint, outcome, first_byte);
+    gate.learn(&endpoint.name, call, first_byte);
     Ok(answer)
 }
 
@@ -149,7 +150,10 @@
 /// Records what a failed attempt says of the version and of the request.
 async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
     match error {
-        AttemptError::Unsent(_) | AttemptError::Status(_) => {}
+        AttemptError::Unsent(_) => {}
+        AttemptError::Status(_) => gate.limits.update(&endpoint.name, |limit| {
+            limit.refused(Instant::now());
+        }),
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
         AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
             gate.crashes.observe(call.digest(), endpoint).await;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -9,8 +9,11 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::BalancePolicy;
 use crate::DomainName;
+use crate::LimitPolicy;
 use crate::NodeName;
+use crate::QueuePolicy;
 use crate::RegionName;
 use crate::VmName;
 
@@ -140,6 +143,34 @@
     /// Limits towards callers and endpoints.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Policies by which requests are queued and routed.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+}
+
+/// Policies of a gate.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RoutingSettings {
+    /// How an endpoint is chosen.
+    pub balance: BalancePolicy,
+    /// How the limit on the requests in progress at an endpoint is set.
+    pub limit: LimitPolicy,
+    /// Requests in progress at an endpoint at which its limit starts.
+    pub concurrency: usize,
+    /// In which order waiting requests are taken.
+    pub queue: QueuePolicy,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            balance: BalancePolicy::default(),
+            limit: LimitPolicy::default(),
+            concurrency: 64,
+            queue: QueuePolicy::default(),
+        }
+    }
 }
 
 /// Limits of a gate towards callers and endpoints.
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -23,6 +23,9 @@
 use crate::Timestamp;
 use crate::Usage;
 use crate::VersionName;
+use crate::admission;
+use crate::admission::Admitted;
+use crate::admission::Permit;
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::completion::Completion;
@@ -88,6 +91,8 @@
     pub(crate) stays: bool,
     /// Endpoint under notice on which the stream is to finish.
     pub(crate) finishing: Option<EndpointName>,
+    /// Held while the request is in progress.
+    pub(crate) permit: Option<Permit>,
     pub(crate) out: UnboundedSender<RelayItem>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) notice: watch::Receiver<Option<Timestamp>>,
@@ -126,6 +131,7 @@
             first: None,
             stays: false,
             finishing: None,
+            permit: None,
             out,
             table: gate.subscribe_table(),
             notice: gate.notice.subscribe(),
@@ -156,6 +162,9 @@
         match end {
             Ok(End::Done) => {
                 self.judge(SampleOutcome::Ok);
+                if let Some(permit) = self.permit.take() {
+                    permit.finish();
+                }
                 let _ = out.send(RelayItem::Done(self.usage));
             }
             Ok(End::HandedOver) => {}
@@ -186,6 +195,10 @@
         if self.run.is_some() {
             self.pass_on_known();
             self.reopen().await;
+        } else if let Admitted::Now(permit) =
+            admission::admit(&self.gate, &self.call, self.wanted.cost()).await?
+        {
+            self.permit = Some(permit);
         }
         loop {
             if self.finished || self.text.position() >= self.wanted.known.max_tokens {
@@ -230,7 +243,11 @@
         self.failures = 0;
         self.tried.clear();
         if let (None, Some(at)) = (self.first, self.dispatched) {
-            self.first = Some(at.elapsed());
+            let first = at.elapsed();
+            self.first = Some(first);
+            if let Some(run) = &self.run {
+                self.gate.learn(&run.endpoint.name, &self.call, first);
+            }
         }
         self.finished |= token.finish.is_some();
         if let (Some(usage), Some(run)) = (token.usage, &self.run) {
@@ -323,7 +340,10 @@
     /// Records what a failed attempt says of the version and of the request.
     pub(crate) async fn blame(&self, endpoint: &Endpoint, error: &AttemptError) {
         match error {
-            AttemptError::Unsent(_) | AttemptError::Status(429 | 503) => {}
+            AttemptError::Unsent(_) => {}
+            AttemptError::Status(429 | 503) => self.gate.limits.update(&endpoint.name, |limit| {
+                limit.refused(Instant::now());
+            }),
             AttemptError::Crossed => self.gate.counters.add(Count::Crossed, 1),
             AttemptError::MaybeSent(_) => {
                 let digest = self.call.digest();
