--- a/lib/src/append_batcher.rs
+++ b/lib/src/append_batcher.rs
@@ -29,6 +29,9 @@
 /// Pause before an append is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Appends failed in a row after which the log counts as down.
+const DOWN_FAILURES: u32 = 2;
+
 /// Time after a failed append during which new records are refused at once.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
@@ -47,7 +50,14 @@
     stream: Stream,
     queue: mpsc::UnboundedSender<Pending>,
     waiting: Mutex<Option<mpsc::UnboundedReceiver<Pending>>>,
-    failed: Mutex<Option<Instant>>,
+    failures: Mutex<Failures>,
+}
+
+/// Appends that failed since the last one that succeeded.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u32,
+    last: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -65,15 +75,15 @@
             stream,
             queue,
             waiting: Mutex::new(Some(waiting)),
-            failed: Mutex::new(None),
+            failures: Mutex::default(),
         }
     }
 
-    /// Tells whether the last append failed a moment ago.
+    /// Tells whether several appends in a row have failed, the last one a moment ago.
     pub(crate) fn is_down(&self) -> bool {
-        self.failed
-            .lock()
-            .is_some_and(|at| at.elapsed() < DOWN_TIME)
+        let failures = self.failures.lock();
+        let is_recent = failures.last.is_some_and(|at| at.elapsed() < DOWN_TIME);
+        failures.count >= DOWN_FAILURES && is_recent
     }
 
     /// Appends a record, again after failures until `deadline`.
@@ -99,6 +109,12 @@
         result.await.unwrap_or(Err(AppendError::MaybeSent))
     }
 
+    fn note_failure(&self) {
+        let mut failures = self.failures.lock();
+        failures.count = failures.count.saturating_add(1);
+        failures.last = Some(Instant::now());
+    }
+
     /// Appends what arrives for as long as the process runs.
     pub(crate) async fn run(&self, controller: &Controller) {
         let Some(mut waiting) = self.waiting.lock().take() else {
@@ -131,7 +147,7 @@
             }
             match controller.log.append(self.stream, records).await {
                 Ok(_) => {
-                    *self.failed.lock() = None;
+                    *self.failures.lock() = Failures::default();
                     for pending in batch {
                         let _ = pending.done.send(Ok(()));
                     }
@@ -139,7 +155,7 @@
                 }
                 Err(error) => {
                     tracing::warn!(stream = self.stream.name(), %error, "an append failed");
-                    *self.failed.lock() = Some(Instant::now());
+                    self.note_failure();
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -21,7 +21,6 @@
 use crate::Gate;
 use crate::IDEMPOTENCY_HEADER;
 use crate::KeySupport;
-use crate::NodeName;
 use crate::Progress;
 use crate::ReplyBody;
 use crate::Result;
--- a/programs/tests/test_once.rs
+++ b/programs/tests/test_once.rs
@@ -2,6 +2,7 @@
 
 mod testutils;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +14,9 @@
 use hawthornrack_lib::Route;
 use hawthornrack_lib::ServiceKind;
 use hyper::Method;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -24,20 +28,39 @@
 use self::testutils::deployment::OTHER_TOKEN;
 use self::testutils::deployment::TOKEN;
 use self::testutils::deployment::service;
+use self::testutils::seed;
 use self::testutils::wait_until;
 
 /// Time within which a call must be refused while the log is down.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time within which a booking must be answered.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// Time within which a booking must be answered in the mixed run.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Rounds of the mixed run.
+const ROUNDS: usize = 10;
+
+/// Keys used first in each round of the mixed run.
+const ROUND_KEYS: usize = 8;
+
 /// Endpoints of the service.
 const SERVERS: [&str; 2] = ["desk-a", "desk-b"];
 
 /// Starts entries before two endpoints that take `run_ms` for a booking.
 async fn bookings(entries: usize, keys: KeySupport, run_ms: u32) -> Deployment {
-    bookings_with(entries, keys, run_ms, "").await
+    bookings_with(entries, keys, run_ms, "", ROUTE_TIMEOUT).await
 }
 
-async fn bookings_with(entries: usize, keys: KeySupport, run_ms: u32, control: &str) -> Deployment {
+async fn bookings_with(
+    entries: usize,
+    keys: KeySupport,
+    run_ms: u32,
+    control: &str,
+    timeout: Duration,
+) -> Deployment {
     let mut deployment = Deployment::start_with(entries, control).await;
     let kept = serde_json::to_string(&keys).unwrap();
     let settings = [format!("run_ms={run_ms}"), format!("keys={kept}")];
@@ -49,7 +72,7 @@
         prefix: String::from("book"),
         repeatable: false,
         priority: Priority::Interactive,
-        timeout: Duration::from_secs(12),
+        timeout,
     };
     let mut desk = service("desk", ServiceKind::Plain, vec![route]);
     desk.keys = keys;
@@ -237,9 +260,10 @@
     deployment.restart_gate(0).await;
     assert!(send.await.unwrap().is_err());
     deployment.wait_entries(2).await;
-    for entry in [1, 0] {
+    for entry in [1, 0, 1] {
         let answer = book(&deployment, entry, "k").await.unwrap();
         assert_eq!(outcome(&answer), "unknown", "{}", answer.text());
+        tokio::time::sleep(Duration::from_millis(500)).await;
     }
     assert_eq!(runs(&deployment, "k").await, 1);
 }
@@ -476,9 +500,31 @@
     assert_eq!(runs(&deployment, "k").await, 1);
 }
 
+#[tokio::test]
+async fn test_once_stop_during_a_log_outage_hands_the_answer_to_another_gate() {
+    let mut deployment = bookings(2, KeySupport::Ignored, 1000).await;
+    let http = deployment.http.clone();
+    let gate = deployment.entries[0].callers();
+    let send = tokio::spawn(async move { http.send(gate, booking("k")).await });
+    wait_until("the booking runs", LIMIT, async || {
+        running(&deployment).await == 1
+    })
+    .await;
+    set_log(&deployment, json!({"outage": "refuse"})).await;
+    deployment.entries[0].gate.terminate();
+    let first = send.await.unwrap().unwrap();
+    assert_eq!(first.status, 200, "{}", first.text());
+    assert!(deployment.entries[0].gate.wait_exit(LIMIT).await.is_some());
+    set_log(&deployment, json!({"outage": "off"})).await;
+    let again = book_until_done(&deployment, 1, "k").await;
+    assert_eq!(again.json(), first.json());
+    assert_eq!(runs(&deployment, "k").await, 1);
+}
+
 #[tokio::test]
 async fn test_once_claims_outlive_their_records_behind_a_checkpoint() {
-    let mut deployment = bookings_with(2, KeySupport::Ignored, 1, "checkpoint = 10").await;
+    let mut deployment =
+        bookings_with(2, KeySupport::Ignored, 1, "checkpoint = 10", ROUTE_TIMEOUT).await;
     let first = book(&deployment, 0, "k").await.unwrap();
     assert_eq!(first.status, 200, "{}", first.text());
     for n in 0..20 {
@@ -507,3 +553,147 @@
     assert_eq!(again.json(), first.json());
     assert_eq!(runs(&deployment, "k").await, 1);
 }
+
+/// A fault of the mixed run.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The log refuses.
+    LogRefuses,
+    /// The log is silent.
+    LogSilent,
+    /// Answers of the log to appends are lost after they took effect.
+    LogAnswersLost,
+    /// A link of the proxy is in a mode.
+    Link(&'static str, LinkMode),
+    /// A controller is paused.
+    PausedController,
+    /// A gate is paused.
+    PausedGate,
+}
+
+const FAULTS: [Fault; 10] = [
+    Fault::LogRefuses,
+    Fault::LogSilent,
+    Fault::LogAnswersLost,
+    Fault::Link("log", LinkMode::DropAnswers),
+    Fault::Link("endpoint", LinkMode::DropAnswers),
+    Fault::Link("endpoint", LinkMode::Freeze),
+    Fault::Link("gate", LinkMode::DropAnswers),
+    Fault::Link("rpc", LinkMode::Freeze),
+    Fault::PausedController,
+    Fault::PausedGate,
+];
+
+async fn begin_fault(deployment: &Deployment, fault: Fault, index: usize) {
+    match fault {
+        Fault::LogRefuses => set_log(deployment, json!({"outage": "refuse"})).await,
+        Fault::LogSilent => set_log(deployment, json!({"outage": "silent"})).await,
+        Fault::LogAnswersLost => {
+            set_log(deployment, json!({"lose_answers": 5, "only": "claims"})).await;
+        }
+        Fault::Link("endpoint", mode) => {
+            let link = format!("endpoint-{}", SERVERS[index % SERVERS.len()]);
+            deployment.proxy.set_mode(&link, mode).await;
+        }
+        Fault::Link(kind, mode) => {
+            let link = format!("{kind}-{index}");
+            deployment.proxy.set_mode(&link, mode).await;
+        }
+        Fault::PausedController => deployment.entries[index].controller.pause(),
+        Fault::PausedGate => deployment.entries[index].gate.pause(),
+    }
+}
+
+async fn end_faults(deployment: &Deployment) {
+    for entry in &deployment.entries {
+        entry.controller.resume();
+        entry.gate.resume();
+    }
+    deployment.proxy.set_modes("", LinkMode::Pass).await;
+    set_log(deployment, json!({"outage": "off", "lose_answers": 0})).await;
+}
+
+/// What the caller of a booking has seen.
+#[derive(Debug, Default)]
+struct Booking {
+    answers: Vec<Value>,
+    not_run: u32,
+    other: u32,
+}
+
+impl Booking {
+    fn note(&mut self, answer: Option<Answer>) {
+        match answer {
+            Some(answer) if answer.status == 200 => self.answers.push(answer.json()),
+            Some(answer) if outcome(&answer) == "not_run" => self.not_run += 1,
+            _ => self.other += 1,
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_once_refusals_are_true_and_keys_run_once_under_random_faults() {
+    let mut rng = SmallRng::seed_from_u64(seed(7));
+    let deployment = bookings_with(3, KeySupport::Ignored, 20, "", SHORT_TIMEOUT).await;
+    let mut bookings: BTreeMap<String, Booking> = BTreeMap::new();
+    for round in 0..ROUNDS {
+        for _ in 0..2 {
+            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+            let index = rng.random_range(0..deployment.entries.len());
+            println!("round {round}: {fault:?} {index}");
+            begin_fault(&deployment, fault, index).await;
+        }
+        let mut keys: Vec<String> = (0..ROUND_KEYS).map(|n| format!("k{round}-{n}")).collect();
+        keys.extend((0..round).map(|old| format!("k{old}-{}", round % ROUND_KEYS)));
+        let sends = keys.iter().flat_map(|key| {
+            let first = rng.random_range(0..3);
+            let second = rng.random_range(0..3);
+            [(key, first), (key, second)]
+        });
+        let deployment = &deployment;
+        let sends = sends.map(|(key, entry)| async move {
+            let answer = book(deployment, entry, key).await;
+            (key, answer)
+        });
+        let all: Vec<_> = sends.collect();
+        let answers = tokio::time::timeout(SHORT_TIMEOUT * 2, join_all(all)).await;
+        end_faults(deployment).await;
+        match answers {
+            Ok(answers) => {
+                for (key, answer) in answers {
+                    bookings.entry(key.clone()).or_default().note(answer);
+                }
+            }
+            Err(_) => {
+                for key in &keys {
+                    bookings.entry(key.clone()).or_default().other += 1;
+                }
+            }
+        }
+    }
+    tokio::time::sleep(SHORT_TIMEOUT).await;
+    for (key, booking) in &bookings {
+        let runs = runs(&deployment, key).await;
+        println!(
+            "{key}: {runs} runs, {} answers, {} not run, {} other",
+            booking.answers.len(),
+            booking.not_run,
+            booking.other
+        );
+        assert!(runs <= 1, "{key} ran {runs} times");
+        if booking.answers.is_empty() && booking.other == 0 {
+            assert_eq!(runs, 0, "{key} was refused as not run and ran");
+        }
+        if let Some(first) = booking.answers.first() {
+            assert_eq!(runs, 1, "{key}");
+            assert!(booking.answers.iter().all(|a| a == first), "{key}");
+        }
+    }
+    let refused = bookings
+        .iter()
+        .filter(|(_, b)| b.answers.is_empty() && b.other == 0);
+    for (key, _) in refused {
+        book_until_done(&deployment, 0, key).await;
+        assert_eq!(runs(&deployment, key).await, 1, "{key}");
+    }
+}
