--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,47 @@
+//! Experiments: a declared load on the product's code, measured against plain baselines.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::Report;
+use crate::RolloutExperiment;
+
+/// An experiment as a file declares it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Experiment {
+    /// Moves to simulated versions.
+    Rollouts(RolloutExperiment),
+}
+
+/// An experiment that cannot be run.
+#[derive(Debug, displaydoc::Display, Error)]
+pub enum ExperimentError {
+    /// {0}: cannot be read: {1}
+    Unreadable(PathBuf, std::io::Error),
+    /// {0}: {1}
+    Bad(PathBuf, toml::de::Error),
+}
+
+impl Experiment {
+    /// Reads an experiment from a TOML file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or does not declare an experiment.
+    pub fn load(path: &Path) -> Result<Self, ExperimentError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ExperimentError::Unreadable(path.to_owned(), error))?;
+        toml::from_str(&text).map_err(|error| ExperimentError::Bad(path.to_owned(), error))
+    }
+
+    /// Runs the experiment; `seed` replaces the declared seeds.
+    pub fn run(self, seed: Option<u64>) -> Report {
+        match self {
+            Self::Rollouts(experiment) => experiment.run(seed),
+        }
+    }
+}
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod cloud;
 mod engine;
+mod experiment;
 mod log;
 mod plain;
 mod proxy;
@@ -21,6 +22,7 @@
 
 use self::cloud::CloudCommand;
 use self::engine::EngineCommand;
+use self::experiment::ExperimentCommand;
 use self::log::LogCommand;
 use self::plain::PlainCommand;
 use self::proxy::ProxyCommand;
@@ -43,6 +45,7 @@
 enum Command {
     Cloud(CloudCommand),
     Engine(EngineCommand),
+    Experiment(ExperimentCommand),
     Log(LogCommand),
     Plain(PlainCommand),
     Proxy(ProxyCommand),
@@ -77,6 +80,7 @@
             match self {
                 Self::Cloud(command) => command.run().await,
                 Self::Engine(command) => command.run().await,
+                Self::Experiment(command) => command.run().await,
                 Self::Log(command) => command.run().await,
                 Self::Plain(command) => command.run().await,
                 Self::Proxy(command) => command.run().await,
