--- a/lab/src/rollout_model.rs
+++ b/lab/src/rollout_model.rs
@@ -23,6 +23,7 @@
 use hawthornrack_lib::Timestamp;
 use hawthornrack_lib::Version;
 use hawthornrack_lib::VersionName;
+use hawthornrack_lib::VersionTest;
 use hawthornrack_lib::WINDOW_MS;
 use hawthornrack_lib::millis;
 use hawthornrack_lib::share_of;
@@ -204,11 +205,12 @@
     let (spec, service) = (spec(version.span), service());
     let mut traffic = Traffic::new(*version);
     let mut step: Option<Step> = None;
+    let mut test = VersionTest::default();
     let mut time = START_MS - WARM_MS;
     while time < spec.deadline.0 {
         let rows = traffic.rows(time);
         let now = Timestamp(time);
-        match policy.decide(&spec, &service, step, &rows, now) {
+        match policy.decide(&mut test, &spec, &service, step, &rows, now) {
             Decision::Stop(_) => return traffic.outcome(MoveEnding::TakenBack, time),
             Decision::Finish => return traffic.outcome(MoveEnding::Done, time),
             Decision::Raise(next) => step = Some(next),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -99,6 +99,7 @@
 mod text_so_far;
 mod time;
 mod token;
+mod version_test;
 
 pub use checkpoint::*;
 pub use claim_holder::Progress;
@@ -157,3 +158,4 @@
 pub use text_so_far::TextSoFar;
 pub use time::*;
 pub use token::*;
+pub use version_test::VersionTest;
--- a/lib/src/rollout_policy.rs
+++ b/lib/src/rollout_policy.rs
@@ -12,7 +12,8 @@
 use crate::Service;
 use crate::Step;
 use crate::Timestamp;
-use crate::decide;
+use crate::VersionTest;
+use crate::decide_on;
 use crate::millis;
 
 /// Requests of the new version from which its failure rate is judged.
@@ -35,9 +36,10 @@
 }
 
 impl RolloutPolicy {
-    /// Decides about a running move; see [`decide`].
+    /// Decides about a running move; see [`decide_on`].
     pub fn decide(
         self,
+        test: &mut VersionTest,
         spec: &Move,
         service: &Service,
         step: Option<Step>,
@@ -45,7 +47,7 @@
         now: Timestamp,
     ) -> Decision {
         match self {
-            Self::Sequential => decide(spec, service, step, evidence, now),
+            Self::Sequential => decide_on(test, spec, service, step, evidence, now),
             Self::FailureRate if exceeds_rate(spec, evidence) => {
                 Decision::Stop(format!("version {} fails too often", spec.to))
             }
--- a/lib/src/rollout_watch.rs
+++ b/lib/src/rollout_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ConfigChange;
@@ -19,7 +20,8 @@
 use crate::Stage;
 use crate::Step;
 use crate::Stop;
-use crate::decide;
+use crate::VersionTest;
+use crate::decide_on;
 
 /// Time between two looks at the running moves.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
@@ -50,14 +52,17 @@
 }
 
 async fn look_forever(controller: &Controller) {
+    let mut tests: IndexMap<MoveName, VersionTest> = IndexMap::new();
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
         let Some(config) = controller.config() else {
             continue;
         };
         let live = controller.live();
+        tests.retain(|name, _| running(&config).any(|spec| spec.name == *name));
         for spec in running(&config) {
-            look(controller, &config, &live, spec);
+            let test = tests.entry(spec.name.clone()).or_default();
+            look(controller, &config, &live, spec, test);
         }
     }
 }
@@ -68,11 +73,17 @@
 }
 
 /// Acts on one running move; what it does is safe without the log and at several nodes at once.
-fn look(controller: &Controller, config: &ConfigState, live: &LiveView, spec: &Move) {
+fn look(
+    controller: &Controller,
+    config: &ConfigState,
+    live: &LiveView,
+    spec: &Move,
+    test: &mut VersionTest,
+) {
     if live.stops.contains_key(&spec.name) {
         return;
     }
-    match judge(controller, config, live, spec) {
+    match judge(controller, config, live, spec, test) {
         Some(Decision::Raise(step)) if !is_stale(controller) => {
             controller.live.mark_step(spec.name.clone(), step);
         }
@@ -90,11 +101,12 @@
     config: &ConfigState,
     live: &LiveView,
     spec: &Move,
+    test: &mut VersionTest,
 ) -> Option<Decision> {
     let service = &config.services.get(&spec.service)?.value;
     let step: Option<Step> = live.steps.get(&spec.name).copied();
     let now = controller.kernel.clock.now();
-    Some(decide(spec, service, step, &live.evidence, now))
+    Some(decide_on(test, spec, service, step, &live.evidence, now))
 }
 
 /// Tells whether this node lacks the other nodes' evidence.
@@ -147,7 +159,9 @@
     if let Some(stop) = live.stops.get(&spec.name) {
         return Some((MoveResult::TakenBack, stop.reason.clone()));
     }
-    let finished = judge(controller, config, live, spec) == Some(Decision::Finish);
+    // Badness that only earlier evidence shows is found by the look at the move.
+    let mut test = VersionTest::default();
+    let finished = judge(controller, config, live, spec, &mut test) == Some(Decision::Finish);
     (finished && !is_stale(controller))
         .then(|| (MoveResult::Done, String::from("all traffic has moved")))
 }
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -78,8 +78,9 @@
 }
 
 /// Upper bounds of the latency buckets, in milliseconds.
-pub const LATENCY_BOUNDS_MS: [u64; 16] = [
-    1, 2, 5, 10, 20, 50, 100, 200, 350, 500, 750, 1000, 2000, 5000, 10_000, 30_000,
+pub const LATENCY_BOUNDS_MS: [u64; 26] = [
+    1, 2, 3, 5, 7, 10, 15, 22, 33, 50, 75, 110, 170, 250, 375, 560, 850, 1250, 1900, 2900, 4300,
+    6500, 10_000, 15_000, 22_000, 33_000,
 ];
 
 /// What the counters are about.
