programs: process tests of configuration and of moves; crashes seen through a forwarder

test_config and test_moves run whole deployments behind the proxy.

Found by them and mended: - a node whose only peer is silent: the probe's task panicked. Failing first: test_config_isolated_node_refuses_and_names_other_entries: thread 'tokio-rt-worker' panicked at futures-util .../select_ok.rs:38:5: iterator provided to select_ok was empty - a crashing request got no final answer where a port forwarder accepts connections for a dead process, and a resend at another gate crashed further endpoints before gossip told it.

--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -93,7 +93,9 @@
     let detail = "this entry can reach neither the log nor its peers; use another one";
     let mut response = problem(&Error::new(ErrorKind::NotReady, detail));
     let links = gate.isolation.others();
-    let links = links.iter().map(|a| format!("<http://{a}>; rel=\"alternate\""));
+    let links = links
+        .iter()
+        .map(|a| format!("<http://{a}>; rel=\"alternate\""));
     let links = links.collect::<Vec<_>>().join(", ");
     if let Ok(value) = HeaderValue::from_str(&links) {
         response.headers_mut().insert(LINK, value);
--- a/lib/src/gate_rpc.rs
+++ b/lib/src/gate_rpc.rs
@@ -7,6 +7,7 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::proc_macros::rpc;
 
+use crate::EndpointName;
 use crate::Gate;
 use crate::GateCounts;
 use crate::GatePlugin;
@@ -21,6 +22,10 @@
     #[method(name = "hand_over")]
     async fn hand_over(&self, states: Vec<StreamState>) -> RpcResult<()>;
 
+    /// Hears that an endpoint crashed while it ran the request with this digest.
+    #[method(name = "crashed")]
+    async fn crashed(&self, digest: u64, endpoint: EndpointName) -> RpcResult<()>;
+
     /// Returns the gate's counters.
     #[method(name = "counts")]
     async fn counts(&self) -> RpcResult<GateCounts>;
@@ -55,6 +60,11 @@
         Ok(())
     }
 
+    async fn crashed(&self, digest: u64, endpoint: EndpointName) -> RpcResult<()> {
+        self.0.crashes.note(digest, endpoint);
+        Ok(())
+    }
+
     async fn counts(&self) -> RpcResult<GateCounts> {
         Ok(self.0.counters.read())
     }
--- a/lib/src/hand_over.rs
+++ b/lib/src/hand_over.rs
@@ -99,7 +99,11 @@
 
 /// Returns the gates that take new requests, those of other failure domains first, then in a
 /// stable order for the customer.
-fn peer_gates(gate: &Gate, table: &RoutingTable, customer: &CustomerName) -> Vec<GateInfo> {
+pub(crate) fn peer_gates(
+    gate: &Gate,
+    table: &RoutingTable,
+    customer: &CustomerName,
+) -> Vec<GateInfo> {
     let place = &gate.settings.place;
     let mut peers: Vec<_> = table
         .live
--- a/lib/src/once_dispatch.rs
+++ b/lib/src/once_dispatch.rs
@@ -124,12 +124,24 @@
     let mut sent = Box::pin(send(gate, endpoint, call, attempt, until));
     let in_time = tokio::time::timeout_at(call.deadline, &mut sent).await;
     let Ok(result) = in_time else {
-        run::judge(gate, call, endpoint, SampleOutcome::Failed, started.elapsed());
+        run::judge(
+            gate,
+            call,
+            endpoint,
+            SampleOutcome::Failed,
+            started.elapsed(),
+        );
         return sent.await;
     };
     match &result {
         Ok(reply) if reply.status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16() => {
-            run::judge(gate, call, endpoint, SampleOutcome::Failed, started.elapsed());
+            run::judge(
+                gate,
+                call,
+                endpoint,
+                SampleOutcome::Failed,
+                started.elapsed(),
+            );
         }
         Ok(_) => run::judge(gate, call, endpoint, SampleOutcome::Ok, started.elapsed()),
         Err(error) => run::blame(gate, call, endpoint, error).await,
--- a/lib/src/probe.rs
+++ b/lib/src/probe.rs
@@ -156,6 +156,9 @@
         .choose_multiple(&mut rand::rng(), HELPERS)
         .map(|m| m.controller)
         .collect();
+    if chosen.is_empty() {
+        return None;
+    }
     let asked = chosen
         .into_iter()
         .map(|helper| Box::pin(probe_through(controller, helper, target)));
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -24,6 +24,7 @@
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::counters::Count;
+use crate::crash;
 use crate::full_body;
 use crate::retry;
 use crate::router;
@@ -153,7 +154,7 @@
         AttemptError::Unsent(_) | AttemptError::Status(_) => {}
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
         AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
-            gate.crashes.observe(call.digest(), endpoint).await;
+            crash::observe(gate, call, endpoint).await;
         }
         AttemptError::Silent => {
             let limit = gate.settings.limits.progress;
@@ -173,6 +174,9 @@
     if outcome == SampleOutcome::Failed && gate.leaving(endpoint).is_some() {
         return;
     }
+    if outcome == SampleOutcome::Ok {
+        gate.crashes.answers(&endpoint.name);
+    }
     gate.evidence
         .record_call(call, &endpoint.version, outcome, first_byte);
 }
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -27,6 +27,7 @@
 use crate::call::Call;
 use crate::completion::Completion;
 use crate::counters::Count;
+use crate::crash;
 use crate::engine_stream;
 use crate::engine_stream::EngineStream;
 use crate::engine_stream::StreamItem;
@@ -314,6 +315,9 @@
         if outcome == SampleOutcome::Failed && self.gate.leaving(endpoint).is_some() {
             return;
         }
+        if outcome == SampleOutcome::Ok {
+            self.gate.crashes.answers(&endpoint.name);
+        }
         let first = self.first.unwrap_or_default();
         self.gate
             .evidence
@@ -325,8 +329,7 @@
         match error {
             AttemptError::Unsent(_) | AttemptError::Crossed | AttemptError::Status(429 | 503) => {}
             AttemptError::MaybeSent(_) => {
-                let digest = self.call.digest();
-                self.gate.crashes.observe(digest, endpoint).await;
+                crash::observe(&self.gate, &self.call, endpoint).await;
             }
             AttemptError::Silent | AttemptError::Truncated(_) | AttemptError::Status(_) => {
                 self.judge_fault(endpoint, SampleOutcome::Failed);
--- a/programs/tests/testutils/deployment.rs
+++ b/programs/tests/testutils/deployment.rs
@@ -15,9 +15,11 @@
 use hawthornrack_lib::NodeReport;
 use hawthornrack_lib::Offset;
 use hawthornrack_lib::Route;
+use hawthornrack_lib::RpcClients;
 use hawthornrack_lib::Service;
 use hawthornrack_lib::ServiceKind;
 use hawthornrack_lib::ServiceName;
+use hawthornrack_lib::SharedKey;
 use hawthornrack_lib::Verdict;
 use hawthornrack_lib::Version;
 use hawthornrack_lib::VersionName;
@@ -380,6 +382,21 @@
         serde_json::from_slice::<EntryList>(&answer.body).map_or(Vec::new(), |list| list.entries)
     }
 
+    /// Checks that no task of an entry's processes has panicked.
+    pub fn assert_no_panics(&self) {
+        for entry in &self.entries {
+            for process in [&entry.controller, &entry.gate] {
+                let log = process.log_text();
+                assert!(!log.contains("panicked at"), "{log}");
+            }
+        }
+    }
+
+    /// Returns clients of the RPC ports of the deployment's processes.
+    pub fn rpc(&self) -> RpcClients {
+        RpcClients::new(SharedKey::read(self.secret.path()).unwrap())
+    }
+
     /// Waits until every gate lists `count` entries.
     pub async fn wait_entries(&self, count: usize) {
         for entry in &self.entries {
--- a/programs/tests/testutils/mod.rs
+++ b/programs/tests/testutils/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod deployment;
 pub mod gates;
+pub mod in_force;
+pub mod load;
+pub mod moves;
 pub mod tokens;
 
 use std::collections::HashMap;
