--- a/lab/src/experiment_rollouts.rs
+++ b/lab/src/experiment_rollouts.rs
@@ -92,8 +92,9 @@
 }
 
 fn summary(policy: RolloutPolicy, seed: u64, trials: &[Trial]) -> Vec<String> {
-    let (good, bad): (Vec<&Trial>, Vec<&Trial>) =
-        trials.iter().partition(|(version, _)| version.fault.is_none());
+    let (good, bad): (Vec<&Trial>, Vec<&Trial>) = trials
+        .iter()
+        .partition(|(version, _)| version.fault.is_none());
     let mut requests: Vec<f64> = bad.iter().map(|(_, o)| o.served_bad as f64).collect();
     let mut seconds: Vec<f64> = bad
         .iter()
@@ -161,6 +162,10 @@
         crate::Onset::OneRoute => "on one route",
         crate::Onset::UnderLoad => "under load",
     };
-    let traffic = if version.rate < 5.0 { ", little traffic" } else { "" };
+    let traffic = if version.rate < 5.0 {
+        ", little traffic"
+    } else {
+        ""
+    };
     Some(format!("{what} {when}{traffic}"))
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -61,7 +61,9 @@
 /// Returns the value below which the given thousandths of the values lie; zero without values.
 pub fn quantile(values: &mut [f64], thousandths: usize) -> f64 {
     values.sort_by(f64::total_cmp);
-    let index = (values.len() * thousandths).div_ceil(1000).saturating_sub(1);
+    let index = (values.len() * thousandths)
+        .div_ceil(1000)
+        .saturating_sub(1);
     values.get(index).copied().unwrap_or_default()
 }
 
--- a/lib/src/operator_access.rs
+++ b/lib/src/operator_access.rs
@@ -43,7 +43,7 @@
     controller
         .kernel
         .spawn(async move { copy.copy_configs().await });
-    let auth = OperatorAuth::new(&controller.settings.operator_tokens);
+    let auth = OperatorAuth::new(&controller.settings.token_hashes());
     let stopping = controller.kernel.stopping.clone();
     let rpc = operator_rpc(access, auth, stopping.clone());
     let kernel = Arc::clone(&controller.kernel);
--- a/lib/src/rollout_policy.rs
+++ b/lib/src/rollout_policy.rs
@@ -61,10 +61,7 @@
         .iter()
         .filter(|row| row.key.service == spec.service && row.key.version == spec.to);
     let (failed, all) = rows.fold((0, 0), |(failed, all), row| {
-        (
-            failed + row.sum.failed,
-            all + row.sum.ok + row.sum.failed,
-        )
+        (failed + row.sum.failed, all + row.sum.ok + row.sum.failed)
     });
     all >= RATE_REQUESTS && failed * 1000 > all * RATE_LIMIT
 }
--- a/lib/src/version_test.rs
+++ b/lib/src/version_test.rs
@@ -130,12 +130,7 @@
     /// The sums never fall below zero, so that badness which begins late shows as soon as
     /// badness from the start.
     /// Source: Page, "Continuous inspection schemes", 1954.
-    fn test(
-        &mut self,
-        service: &Service,
-        windows: &Windows,
-        upto: u64,
-    ) -> Option<&'static str> {
+    fn test(&mut self, service: &Service, windows: &Windows, upto: u64) -> Option<&'static str> {
         let mut long = self.old.clone();
         for (_, old) in windows.values() {
             add(&mut long, old);
@@ -273,6 +268,7 @@
     spec: &'a Move,
     version: &'a VersionName,
 ) -> impl Iterator<Item = &'a EvidenceRow> {
-    let is_of = move |row: &&EvidenceRow| row.key.service == spec.service && row.key.version == *version;
+    let is_of =
+        move |row: &&EvidenceRow| row.key.service == spec.service && row.key.version == *version;
     evidence.iter().filter(is_of)
 }
--- a/programs/src/bin/hawthorn-controller.rs
+++ b/programs/src/bin/hawthorn-controller.rs
@@ -1,32 +1,22 @@
 //! The controller program.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use hawthornrack::Start;
 use hawthornrack::init_logs;
 use hawthornrack::print_ready;
-use hawthornrack::read_settings;
+use hawthornrack::read_command_line;
 use hawthornrack::wait_for_stop;
 use hawthornrack_lib::Controller;
 use hawthornrack_lib::ControllerSettings;
 
-/// Runs a hawthornrack controller.
-#[derive(Debug, FromArgs)]
-struct Args {
-    /// settings file (TOML)
-    #[argh(option)]
-    settings: PathBuf,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-}
+/// Commented settings with the defaults.
+const DEFAULT_SETTINGS: &str = include_str!("../settings/controller.toml");
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args: Args = argh::from_env();
-    match run(args).await {
+    match run().await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hawthorn-controller: {error}");
@@ -35,11 +25,11 @@
     }
 }
 
-async fn run(args: Args) -> Result<(), String> {
-    let settings: ControllerSettings = read_settings(&args.settings)?;
-    if args.check {
-        return Ok(());
-    }
+async fn run() -> Result<(), String> {
+    let settings = match read_command_line(DEFAULT_SETTINGS, ControllerSettings::check)? {
+        Start::Exit => return Ok(()),
+        Start::Run(settings) => settings,
+    };
     init_logs();
     let controller = Controller::start(settings)
         .await
--- a/programs/src/bin/hawthorn-gate.rs
+++ b/programs/src/bin/hawthorn-gate.rs
@@ -1,32 +1,22 @@
 //! The gate program.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use hawthornrack::Start;
 use hawthornrack::init_logs;
 use hawthornrack::print_ready;
-use hawthornrack::read_settings;
+use hawthornrack::read_command_line;
 use hawthornrack::wait_for_stop;
 use hawthornrack_lib::Gate;
 use hawthornrack_lib::GateSettings;
 
-/// Runs a hawthornrack gate.
-#[derive(Debug, FromArgs)]
-struct Args {
-    /// settings file (TOML)
-    #[argh(option)]
-    settings: PathBuf,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-}
+/// Commented settings with the defaults.
+const DEFAULT_SETTINGS: &str = include_str!("../settings/gate.toml");
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args: Args = argh::from_env();
-    match run(args).await {
+    match run().await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hawthorn-gate: {error}");
@@ -35,11 +25,11 @@
     }
 }
 
-async fn run(args: Args) -> Result<(), String> {
-    let settings: GateSettings = read_settings(&args.settings)?;
-    if args.check {
-        return Ok(());
-    }
+async fn run() -> Result<(), String> {
+    let settings = match read_command_line(DEFAULT_SETTINGS, GateSettings::check)? {
+        Start::Exit => return Ok(()),
+        Start::Run(settings) => settings,
+    };
     init_logs();
     let gate = Gate::start(settings).await.map_err(|e| e.to_string())?;
     let addrs = gate.addrs();
