--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -26,7 +26,7 @@
 
 /// Headers that are not passed on: those of one connection (RFC 9110, section 7.6.1), and those
 /// that the gate answers itself.
-const HOP_HEADERS: [&str; 14] = [
+pub(crate) const HOP_HEADERS: [&str; 14] = [
     "accept-encoding",
     "authorization",
     "connection",
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -147,7 +147,7 @@
     Ok((service.value.clone(), rest.to_owned()))
 }
 
-fn route_of(service: &Service, path: &str) -> Route {
+pub(crate) fn route_of(service: &Service, path: &str) -> Route {
     service
         .routes
         .iter()
--- a/lib/src/claim_rpc.rs
+++ b/lib/src/claim_rpc.rs
@@ -23,6 +23,7 @@
 use crate::Envelope;
 use crate::Stage;
 use crate::append_batcher::AppendError;
+use crate::claim_tail;
 
 /// Time within which an acquisition must have come back from the log.
 pub(crate) const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -155,7 +156,7 @@
     if let Some(view) = claims.fold.with(decided) {
         return AcquireAnswer::Decided { view };
     }
-    if let Some(reason) = claims.refusal() {
+    if let Some(reason) = claim_tail::refusal(claims) {
         return refused(reason);
     }
     if claims.batcher.is_down() {
--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -24,8 +24,11 @@
 use crate::SharedKey;
 use crate::Timestamp;
 use crate::claim_tail::ClaimStore;
+use crate::claim_tail::claim_store;
 use crate::config_store::ConfigStore;
 use crate::contact::Contact;
+use crate::deferred_rpc::DeferredStore;
+use crate::deferred_rpc::deferred_store;
 use crate::gossip_rpc::announce_leave;
 use crate::lease_keeper;
 use crate::lease_keeper::LeaseStore;
@@ -48,6 +51,7 @@
     pub(crate) addrs: ControllerAddrs,
     pub(crate) claims: Arc<ClaimStore>,
     pub(crate) config: ConfigStore,
+    pub(crate) deferred: Arc<DeferredStore>,
     pub(crate) contact: Contact,
     pub(crate) leases: LeaseStore,
     pub(crate) live: LiveStore,
@@ -101,8 +105,9 @@
             kernel,
             settings,
             addrs,
-            claims: Arc::new(ClaimStore::new()),
+            claims: claim_store(),
             config: ConfigStore::new(),
+            deferred: deferred_store(),
             contact,
             leases: LeaseStore::new(),
             live,
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -29,6 +29,7 @@
 use crate::controller::internal;
 use crate::counters::GateCounters;
 use crate::crash::Crashes;
+use crate::deferred_runner::Runs;
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
@@ -54,6 +55,7 @@
     pub(crate) settings: GateSettings,
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
+    pub(crate) deferred: Runs,
     pub(crate) in_flight: InFlight,
     /// What the gate has to report to its controller.
     pub(crate) reports: Reports,
@@ -109,6 +111,7 @@
             settings,
             addrs,
             http: HttpClient::new(),
+            deferred: Runs::default(),
             in_flight: InFlight::default(),
             reports,
             once: Once::default(),
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -20,6 +20,7 @@
 use crate::RoutingTable;
 use crate::ServiceKind;
 use crate::call;
+use crate::deferred;
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
@@ -53,6 +54,9 @@
     if request.uri().path() == ENTRIES_PATH {
         return list_entries(&gate, &table, &request);
     }
+    if let Some(id) = request.uri().path().strip_prefix(deferred::JOBS_PATH) {
+        return read_job(&gate, &table, &request, id).await;
+    }
     if gate.isolation.is_isolated() {
         return Ok(withdraw(&gate));
     }
@@ -60,6 +64,9 @@
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
+    if deferred::is_wanted(&call) {
+        return deferred::accept(&gate, call).await;
+    }
     match call.service.kind {
         ServiceKind::Model => model_call::run(&gate, call).await,
         ServiceKind::Plain if call.is_repeatable() => run::run(&gate, call).await,
@@ -67,6 +74,22 @@
     }
 }
 
+async fn read_job(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+    id: &str,
+) -> Result<Response<ReplyBody>> {
+    if request.method() != Method::GET {
+        return Err(Error::new(
+            ErrorKind::MethodNotAllowed,
+            "a result is read with GET",
+        ));
+    }
+    let customer = call::customer(table, request.headers())?;
+    deferred::read(gate, &customer, id).await
+}
+
 /// Checks the size of a header section.
 fn check_headers(headers: &HeaderMap, limit: usize) -> Result<()> {
     let size = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -9,7 +9,6 @@
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::AttemptId;
 use crate::ClaimKey;
@@ -32,10 +31,10 @@
 use crate::claim_holder;
 use crate::claim_holder::Holder;
 use crate::claim_holder::Holders;
-use crate::claim_outbox::ClaimOutbox;
 use crate::full_body;
 use crate::once_dispatch;
 use crate::once_dispatch::Dispatched;
+use crate::outbox::Outbox;
 
 /// Time by which an answer may exceed the deadline, so that a refusal can still be told from an
 /// unknown outcome.
@@ -60,7 +59,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Once {
     pub(crate) holders: Holders,
-    pub(crate) outbox: ClaimOutbox,
+    pub(crate) outbox: Outbox,
     tasks: TaskTracker,
 }
 
@@ -141,7 +140,7 @@
 }
 
 async fn run_keyed(gate: &Arc<Gate>, mut call: Call, key: ClaimKey) -> Result<StoredReply> {
-    let digest = digest(&call);
+    let digest = call.digest();
     mark_key(&mut call, &key);
     loop {
         if Instant::now() >= call.deadline {
@@ -300,20 +299,6 @@
         .collect()
 }
 
-/// Returns the hash (xxh3, 64 bits) of a call's method, path and body.
-fn digest(call: &Call) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [
-        call.method.as_str().as_bytes(),
-        call.path.as_bytes(),
-        &call.body,
-    ] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
-}
-
 /// Gives the call the key that endpoints with key support get.
 fn mark_key(call: &mut Call, key: &ClaimKey) {
     if call.service.keys == KeySupport::Ignored {
--- a/lib/src/claim_outbox.rs
+++ b/lib/src/outbox.rs
@@ -1,4 +1,4 @@
-//! Records about claims that a gate still has to get into the log.
+//! Records that a gate still has to get into the log.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 
 use crate::Body;
 use crate::ClaimChange;
+use crate::DeferredChange;
 use crate::Envelope;
 use crate::Gate;
 use crate::GatePlugin;
@@ -18,6 +19,7 @@
 use crate::Result;
 use crate::Stage;
 use crate::claim_client;
+use crate::deferred;
 
 /// Records sent at once.
 const SENT_AT_ONCE: usize = 32;
@@ -30,7 +32,7 @@
 
 inventory::submit! {
     GatePlugin {
-        name: "claim-outbox",
+        name: "outbox",
         stage: Stage::Duty,
         start,
         methods: None,
@@ -39,12 +41,12 @@
 
 /// Records that wait for the log, oldest first.
 #[derive(Debug)]
-pub(crate) struct ClaimOutbox {
+pub(crate) struct Outbox {
     records: Mutex<IndexMap<RecordId, Envelope>>,
     len: watch::Sender<usize>,
 }
 
-impl Default for ClaimOutbox {
+impl Default for Outbox {
     fn default() -> Self {
         Self {
             records: Mutex::default(),
@@ -53,7 +55,7 @@
     }
 }
 
-impl ClaimOutbox {
+impl Outbox {
     /// Adds a record; the body of an answer is left out when too many bytes wait.
     pub(crate) fn push(&self, mut record: Envelope) {
         let mut records = self.records.lock();
@@ -117,28 +119,35 @@
 }
 
 async fn send(gate: &Gate, record: Envelope) -> bool {
-    let Body::Claim(change) = &record.body else {
-        gate.once.outbox.remove(record.id);
-        return true;
+    let is_sent = match &record.body {
+        Body::Claim(change) => {
+            let (key, _) = change.subject();
+            claim_client::put(gate, &key.to_string(), &record).await
+        }
+        Body::Deferred(_) => deferred::put(gate, &record).await,
+        Body::Checkpoint(_) | Body::Config(_) | Body::Lease(_) => true,
     };
-    let (key, attempt) = change.subject();
-    let is_sent = claim_client::put(gate, &key.to_string(), &record).await;
     if is_sent {
         gate.once.outbox.remove(record.id);
-        gate.once.holders.forget(attempt);
+        if let Body::Claim(change) = &record.body {
+            gate.once.holders.forget(change.subject().1);
+        }
     }
     is_sent
 }
 
 fn body_bytes(record: &Envelope) -> usize {
     match &record.body {
-        Body::Claim(ClaimChange::Finish { reply, .. }) => reply.body.len(),
+        Body::Claim(ClaimChange::Finish { reply, .. })
+        | Body::Deferred(DeferredChange::Finish { reply, .. }) => reply.body.len(),
         _ => 0,
     }
 }
 
 fn omit_body(record: &mut Envelope) {
-    if let Body::Claim(ClaimChange::Finish { reply, .. }) = &mut record.body {
+    if let Body::Claim(ClaimChange::Finish { reply, .. })
+    | Body::Deferred(DeferredChange::Finish { reply, .. }) = &mut record.body
+    {
         *reply = reply.without_body();
     }
 }
--- a/lib/src/stream_tail.rs
+++ b/lib/src/stream_tail.rs
@@ -1,5 +1,6 @@
 //! Follows a folded log stream, restores it from checkpoints and writes these.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -13,7 +14,9 @@
 use crate::Record;
 use crate::Result;
 use crate::Stream;
+use crate::append_batcher::AppendBatcher;
 use crate::checkpoint_writer::is_writer;
+use crate::fold_store::Fold;
 use crate::fold_store::FoldStore;
 use crate::split_checkpoint;
 
@@ -32,6 +35,43 @@
 /// Parts of a checkpoint in one append.
 const PARTS_PER_APPEND: usize = 4;
 
+/// A folded stream at this node, with what appends to it.
+#[derive(Debug)]
+pub(crate) struct StreamStore<S> {
+    pub(crate) fold: FoldStore<S>,
+    pub(crate) batcher: AppendBatcher,
+    stream: Stream,
+}
+
+impl<S> StreamStore<S>
+where
+    S: Default + DeserializeOwned + Send + Serialize + 'static,
+{
+    pub(crate) fn new(stream: Stream, fold: Fold<S>) -> Self {
+        Self {
+            fold: FoldStore::new(fold),
+            batcher: AppendBatcher::new(stream),
+            stream,
+        }
+    }
+
+    /// Follows the stream, appends to it and keeps checkpoints of it.
+    pub(crate) fn start(self: &Arc<Self>, controller: &Arc<Controller>) {
+        let (owner, store) = (Arc::clone(controller), Arc::clone(self));
+        controller
+            .kernel
+            .spawn(async move { follow(&owner, store.stream, &store.fold).await });
+        let (owner, store) = (Arc::clone(controller), Arc::clone(self));
+        controller
+            .kernel
+            .spawn(async move { keep_checkpoints(&owner, store.stream, &store.fold).await });
+        let (owner, store) = (Arc::clone(controller), Arc::clone(self));
+        controller
+            .kernel
+            .spawn(async move { store.batcher.run(&owner).await });
+    }
+}
+
 /// Applies a stream's records to `store` for as long as the process runs.
 pub(crate) async fn follow<S>(controller: &Controller, stream: Stream, store: &FoldStore<S>)
 where
