--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -34,6 +34,7 @@
 use crate::controller::internal;
 use crate::counters::GateCounters;
 use crate::crash::Crashes;
+use crate::deferred_runner::Runs;
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
@@ -62,6 +63,7 @@
     pub(crate) settings: GateSettings,
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
+    pub(crate) deferred: Runs,
     pub(crate) in_flight: InFlight,
     /// What the gate has to report to its controller.
     pub(crate) reports: Reports,
@@ -127,6 +129,7 @@
             settings,
             addrs,
             http: HttpClient::new(),
+            deferred: Runs::default(),
             in_flight: InFlight::default(),
             reports,
             once: Once::default(),
