--- a/lib/src/deferred_runner.rs
+++ b/lib/src/deferred_runner.rs
@@ -252,6 +252,7 @@
     let method = Method::from_bytes(request.method.as_bytes())
         .map_err(|error| Error::new(ErrorKind::BadRequest, error.to_string()))?;
     Ok(Call {
+        affinity: None,
         id: request.id,
         customer: request.customer.clone(),
         deadline: Instant::now() + route.timeout,
