--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! `POST /control`, whose body is a JSON merge patch (RFC 7396) of the settings.
 
 mod batch;
+mod byte_count;
 mod cache;
 mod cloud;
 mod engine;
@@ -22,6 +23,7 @@
 mod reply;
 mod report;
 mod rollout_model;
+mod scale;
 mod site;
 mod stream;
 mod weights;
@@ -39,6 +41,10 @@
 pub use reply::*;
 pub use report::*;
 pub use rollout_model::*;
+pub use scale::SCALE_HEAD;
+pub use scale::ScaleReport;
+pub use scale::ScaleSettings;
+pub use scale::measure_scale;
 pub use site::Site;
 pub use site::SiteEntry;
 pub use site::SiteError;
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -7,6 +7,7 @@
 mod log;
 mod plain;
 mod proxy;
+mod scale;
 mod weights;
 
 use std::error::Error;
@@ -28,6 +29,7 @@
 use self::log::LogCommand;
 use self::plain::PlainCommand;
 use self::proxy::ProxyCommand;
+use self::scale::ScaleCommand;
 use self::weights::WeightsCommand;
 
 /// Threads of a stand-in's runtime.
@@ -52,6 +54,7 @@
     Log(LogCommand),
     Plain(PlainCommand),
     Proxy(ProxyCommand),
+    Scale(ScaleCommand),
     Weights(WeightsCommand),
 }
 
@@ -88,6 +91,7 @@
                 Self::Log(command) => command.run().await,
                 Self::Plain(command) => command.run().await,
                 Self::Proxy(command) => command.run().await,
+                Self::Scale(command) => command.run().await,
                 Self::Weights(command) => command.run().await,
             }
         })
