--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -15,6 +15,7 @@
 use hawthornrack_lib::LimitSettings;
 use hawthornrack_lib::Place;
 use hawthornrack_lib::Platform;
+use hawthornrack_lib::RoutingSettings;
 use hawthornrack_lib::token_hash;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -200,6 +201,7 @@
             controllers: vec![controller.addrs().rpc],
             secret_file: secret.to_owned(),
             limits: LimitSettings::default(),
+            routing: RoutingSettings::default(),
         })
         .await?;
         self.entries.push(SiteEntry { controller, gate });
