--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -34,12 +34,16 @@
 use crate::controller::internal;
 use crate::counters::GateCounters;
 use crate::crash::Crashes;
+use crate::deferred_runner::Runs;
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
 use crate::isolation::Isolation;
+use crate::metrics::Metrics;
+use crate::metrics::RequestMetrics;
 use crate::once;
 use crate::once::Once;
+use crate::ops::serve_ops;
 use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
 use crate::rpc_server::serve_rpc;
@@ -59,6 +63,7 @@
     pub(crate) settings: GateSettings,
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
+    pub(crate) deferred: Runs,
     pub(crate) in_flight: InFlight,
     /// What the gate has to report to its controller.
     pub(crate) reports: Reports,
@@ -71,6 +76,8 @@
     pub(crate) admission: Admission,
     pub(crate) limits: EndpointLimits,
     pub(crate) counters: GateCounters,
+    pub(crate) metrics: Metrics,
+    pub(crate) requests: RequestMetrics,
     pub(crate) crashes: Crashes,
     pub(crate) evidence: EvidenceRecorder,
     pub(crate) handed: HandedStates,
@@ -91,6 +98,8 @@
     pub callers: SocketAddr,
     /// RPC port for other gates.
     pub rpc: SocketAddr,
+    /// Port for metrics and health.
+    pub ops: SocketAddr,
 }
 
 impl Gate {
@@ -104,9 +113,12 @@
         let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
+        let ops = bind(settings.ops).await?;
+        let metrics = Metrics::new()?;
         let addrs = GateAddrs {
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
+            ops: bound(&ops)?,
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
@@ -117,6 +129,7 @@
             settings,
             addrs,
             http: HttpClient::new(),
+            deferred: Runs::default(),
             in_flight: InFlight::default(),
             reports,
             once: Once::default(),
@@ -127,6 +140,8 @@
             admission: Admission::default(),
             limits: EndpointLimits::new(routing.limit, routing.concurrency),
             counters: GateCounters::default(),
+            requests: RequestMetrics::new(&metrics),
+            metrics,
             crashes: Crashes::default(),
             handed: HandedStates::default(),
             isolation: Isolation::default(),
@@ -141,6 +156,7 @@
         }
         gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
+        serve_ops(&gate.kernel, ops, Arc::clone(&gate));
         Ok(gate)
     }
 
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -1,6 +1,7 @@
 //! Answers callers' HTTP requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::HeaderMap;
 use hyper::Method;
@@ -11,6 +12,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::LINK;
+use tokio::time::Instant;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -19,10 +21,12 @@
 use crate::Result;
 use crate::RoutingTable;
 use crate::ServiceKind;
+use crate::ServiceName;
 use crate::admission;
 use crate::admission::Admitted;
 use crate::call;
 use crate::call::Call;
+use crate::deferred;
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
@@ -40,10 +44,13 @@
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
     let version = request.version();
+    let started = Instant::now();
+    let service = service_of(&gate, &request);
     let mut response = match try_answer(Arc::clone(&gate), request).await {
         Ok(response) => response,
         Err(error) => problem(&error),
     };
+    count(&gate, service.as_ref(), response.status().as_u16(), started);
     if version <= Version::HTTP_11 && !gate.info().accepting {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -51,6 +58,23 @@
     response
 }
 
+/// Returns the service that a request is for, if it exists.
+fn service_of(gate: &Gate, request: &Request<Incoming>) -> Option<(ServiceName, Duration)> {
+    let name = request.uri().path().split('/').nth(1)?;
+    let name = ServiceName::new(name).ok()?;
+    let table = gate.table()?;
+    let service = &table.config.services.get(&name)?.value;
+    Some((name, service.target))
+}
+
+fn count(gate: &Gate, service: Option<&(ServiceName, Duration)>, status: u16, started: Instant) {
+    let spent = started.elapsed();
+    let name = service.map_or("", |(name, _)| name.as_str());
+    let in_target = service.is_some_and(|(_, target)| spent <= *target);
+    gate.requests
+        .answered(status, name, spent.as_secs_f64(), in_target);
+}
+
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
     check_headers(request.headers(), gate.settings.limits.headers)?;
     let table = gate
@@ -59,6 +83,9 @@
     if request.uri().path() == ENTRIES_PATH {
         return list_entries(&gate, &table, &request);
     }
+    if let Some(id) = request.uri().path().strip_prefix(deferred::JOBS_PATH) {
+        return read_job(&gate, &table, &request, id).await;
+    }
     if gate.isolation.is_isolated() {
         return Ok(withdraw(&gate));
     }
@@ -66,6 +93,9 @@
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
+    if deferred::is_wanted(&call) {
+        return deferred::accept(&gate, call).await;
+    }
     match call.service.kind {
         ServiceKind::Model => model_call::run(&gate, call).await,
         ServiceKind::Plain => run_plain(&gate, call).await,
@@ -98,6 +128,22 @@
     )
 }
 
+async fn read_job(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+    id: &str,
+) -> Result<Response<ReplyBody>> {
+    if request.method() != Method::GET {
+        return Err(Error::new(
+            ErrorKind::MethodNotAllowed,
+            "a result is read with GET",
+        ));
+    }
+    let customer = call::customer(table, request.headers())?;
+    deferred::read(gate, &customer, id).await
+}
+
 /// Checks the size of a header section.
 fn check_headers(headers: &HeaderMap, limit: usize) -> Result<()> {
     let size = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -30,6 +30,7 @@
 use crate::call::Call;
 use crate::completion::Completion;
 use crate::counters::Count;
+use crate::crash;
 use crate::engine_stream;
 use crate::engine_stream::EngineStream;
 use crate::engine_stream::StreamItem;
@@ -331,6 +332,9 @@
         if outcome == SampleOutcome::Failed && self.gate.leaving(endpoint).is_some() {
             return;
         }
+        if outcome == SampleOutcome::Ok {
+            self.gate.crashes.answers(&endpoint.name);
+        }
         let first = self.first.unwrap_or_default();
         self.gate
             .evidence
@@ -346,8 +350,7 @@
             }),
             AttemptError::Crossed => self.gate.counters.add(Count::Crossed, 1),
             AttemptError::MaybeSent(_) => {
-                let digest = self.call.digest();
-                self.gate.crashes.observe(digest, endpoint).await;
+                crash::observe(&self.gate, &self.call, endpoint).await;
             }
             AttemptError::Silent | AttemptError::Truncated(_) | AttemptError::Status(_) => {
                 self.judge_fault(endpoint, SampleOutcome::Failed);
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -3,6 +3,7 @@
 mod cloud;
 mod demo;
 mod engine;
+mod experiment;
 mod log;
 mod plain;
 mod proxy;
@@ -23,6 +24,7 @@
 use self::cloud::CloudCommand;
 use self::demo::DemoCommand;
 use self::engine::EngineCommand;
+use self::experiment::ExperimentCommand;
 use self::log::LogCommand;
 use self::plain::PlainCommand;
 use self::proxy::ProxyCommand;
@@ -46,6 +48,7 @@
     Cloud(CloudCommand),
     Demo(DemoCommand),
     Engine(EngineCommand),
+    Experiment(ExperimentCommand),
     Log(LogCommand),
     Plain(PlainCommand),
     Proxy(ProxyCommand),
@@ -81,6 +84,7 @@
                 Self::Cloud(command) => command.run().await,
                 Self::Demo(command) => command.run().await,
                 Self::Engine(command) => command.run().await,
+                Self::Experiment(command) => command.run().await,
                 Self::Log(command) => command.run().await,
                 Self::Plain(command) => command.run().await,
                 Self::Proxy(command) => command.run().await,
