--- a/programs/tests/test_deferred.rs
+++ b/programs/tests/test_deferred.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use hawthornrack_lab::EngineStats;
+use hawthornrack_lab::LinkMode;
 use hawthornrack_lab::PlainStats;
 use hawthornrack_lab::generate_text;
 use hawthornrack_lib::KeySupport;
@@ -248,6 +249,33 @@
     assert_eq!(runs(&deployment, "/fit/1").await, 1);
 }
 
+#[tokio::test]
+async fn test_deferred_acceptance_without_an_answer_is_not_called_refused() {
+    let deployment = drafts(1, 1).await;
+    deployment
+        .proxy
+        .set_mode("log-0", LinkMode::DropAnswers)
+        .await;
+    let mut refused = Vec::new();
+    for n in 0..4 {
+        let path = format!("/desk/book/{n}");
+        let answer = send(&deployment, 0, deferred(&path)).await;
+        match answer.json()["outcome"].as_str() {
+            Some("not_run") => refused.push(n),
+            Some("unknown") => {}
+            _ => panic!("{} {}", answer.status, answer.text()),
+        }
+    }
+    assert!(refused.len() < 4, "the log took the first record");
+    deployment.proxy.set_mode("log-0", LinkMode::Pass).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for n in refused {
+        let runs = runs(&deployment, &format!("/book/{n}")).await;
+        assert_eq!(runs, 0, "booking {n} was refused as not run");
+    }
+    assert_eq!(runs(&deployment, "/book/0").await, 1);
+}
+
 #[tokio::test]
 async fn test_deferred_waits_for_an_endpoint() {
     let deployment = drafts(1, 1).await;
