--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -24,6 +24,7 @@
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::counters::Count;
+use crate::crash;
 use crate::full_body;
 use crate::retry;
 use crate::router;
@@ -116,6 +117,7 @@
         SampleOutcome::Ok
     };
     judge(gate, call, endpoint, outcome, first_byte);
+    gate.learn(&endpoint.name, call, first_byte);
     Ok(answer)
 }
 
@@ -150,10 +152,13 @@
 /// Records what a failed attempt says of the version and of the request.
 pub(crate) async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
     match error {
-        AttemptError::Unsent(_) | AttemptError::Status(_) => {}
+        AttemptError::Unsent(_) => {}
+        AttemptError::Status(_) => gate.limits.update(&endpoint.name, |limit| {
+            limit.refused(Instant::now());
+        }),
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
         AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
-            gate.crashes.observe(call.digest(), endpoint).await;
+            crash::observe(gate, call, endpoint).await;
         }
         AttemptError::Silent => {
             let limit = gate.settings.limits.progress;
@@ -173,6 +178,9 @@
     if outcome == SampleOutcome::Failed && gate.leaving(endpoint).is_some() {
         return;
     }
+    if outcome == SampleOutcome::Ok {
+        gate.crashes.answers(&endpoint.name);
+    }
     gate.evidence
         .record_call(call, &endpoint.version, outcome, first_byte);
 }
