once: a reclaimed gate sends its callers on before its machine ends

Callers with a key get 307 to a gate that joins or looks the answer up; the call goes on here, and its records are handed to another gate while the log does not answer. Deferred requests go through admission. Shown failing first without it: test_once_reclaimed_gate_sends_the_caller_on, both cases (send.await is an answer after 4 s or none, not 307).

--- a/lib/src/deferred_runner.rs
+++ b/lib/src/deferred_runner.rs
@@ -37,10 +37,13 @@
 use crate::ServiceKind;
 use crate::Stage;
 use crate::StoredReply;
+use crate::admission;
+use crate::admission::Admitted;
 use crate::call;
 use crate::call::Call;
 use crate::claim_client::homes;
 use crate::deferred;
+use crate::gate_http::PLAIN_COST;
 use crate::model_call;
 use crate::once;
 use crate::problem::problem;
@@ -207,7 +210,20 @@
 /// # Errors
 ///
 /// Fails with the kind that tells what is known of the call's effect.
-pub(crate) async fn run_call(gate: &Arc<Gate>, mut call: Call) -> Result<StoredReply> {
+pub(crate) async fn run_call(gate: &Arc<Gate>, call: Call) -> Result<StoredReply> {
+    if call.service.kind == ServiceKind::Model {
+        return run_model(gate, call).await;
+    }
+    let permit = match admission::admit(gate, &call, PLAIN_COST).await? {
+        Admitted::Now(permit) => permit,
+        Admitted::Leaving => return Err(Error::new(ErrorKind::Leaving, "this machine ends")),
+    };
+    let reply = run_plain(gate, call).await?;
+    permit.finish();
+    Ok(reply)
+}
+
+async fn run_plain(gate: &Arc<Gate>, call: Call) -> Result<StoredReply> {
     if !call.is_repeatable() {
         let key = call
             .key()?
@@ -219,13 +235,16 @@
         };
         return once::run_claimed(gate, call, Some(key)).await;
     }
-    let response = match call.service.kind {
-        ServiceKind::Model => {
-            call.body = without_stream(&call.body);
-            model_call::run(gate, call).await?
-        }
-        ServiceKind::Plain => run::run(gate, call).await?,
-    };
+    let response = run::run(gate, call).await?;
+    Ok(stored(response).await)
+}
+
+async fn run_model(gate: &Arc<Gate>, mut call: Call) -> Result<StoredReply> {
+    call.body = without_stream(&call.body);
+    let response = model_call::run(gate, call).await?;
+    if response.status().is_redirection() {
+        return Err(Error::new(ErrorKind::Leaving, "this machine ends"));
+    }
     Ok(stored(response).await)
 }
 
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -39,7 +39,7 @@
 const ENTRIES_PATH: &str = "/v1/entries";
 
 /// Cost of a plain call, in tokens.
-const PLAIN_COST: f64 = 1.0;
+pub(crate) const PLAIN_COST: f64 = 1.0;
 
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -32,6 +32,7 @@
 use crate::claim_holder::Holder;
 use crate::claim_holder::Holders;
 use crate::full_body;
+use crate::hand_over;
 use crate::once_dispatch;
 use crate::once_dispatch::Dispatched;
 use crate::outbox::Outbox;
@@ -52,6 +53,9 @@
 /// Pause after which an attempt asks again.
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time before the end of the gate's machine at which callers are sent on.
+const LAST_MOMENT: Duration = Duration::from_millis(700);
+
 /// Time for which a stopping gate waits for the log before it hands its records over.
 const FLUSH_LIMIT: Duration = Duration::from_secs(1);
 
@@ -74,8 +78,36 @@
         service: call.service.name.clone(),
         key: key.to_owned(),
     });
-    let reply = run_claimed(gate, call, key).await?;
-    respond(reply)
+    let is_keyed = key.is_some();
+    let (customer, path) = (
+        call.customer.clone(),
+        format!("/{}/{}", call.service.name, call.path),
+    );
+    tokio::select! {
+        reply = run_claimed(gate, call, key) => respond(reply?),
+        () = last_moment(gate) => {
+            let table = gate.table().filter(|_| is_keyed);
+            let sent_on = table.and_then(|t| hand_over::redirect(gate, &t, &customer, &path));
+            sent_on.ok_or_else(|| unknown("this machine ends before the call has been answered"))
+        }
+    }
+}
+
+/// Waits until the gate's machine is about to end.
+///
+/// A caller with a key is then sent on: its resend waits elsewhere for the answer, which goes to
+/// the log. One without a key must not send its call again.
+async fn last_moment(gate: &Gate) {
+    let mut notice = gate.notice.subscribe();
+    let deadline = match notice.wait_for(Option::is_some).await {
+        Ok(deadline) => *deadline,
+        Err(_) => None,
+    };
+    let Some(deadline) = deadline else {
+        return std::future::pending().await;
+    };
+    let left = deadline.since(gate.kernel.clock.now());
+    tokio::time::sleep(left.saturating_sub(LAST_MOMENT)).await;
 }
 
 /// Runs a call under a claim on `key`, or without one.
--- a/lib/src/outbox.rs
+++ b/lib/src/outbox.rs
@@ -1,4 +1,6 @@
 //! Records that a gate still has to get into the log.
+//!
+//! A gate whose machine ends gives copies to another gate while the log does not answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use crate::Result;
 use crate::Stage;
 use crate::claim_client;
+use crate::claim_holder;
 use crate::deferred;
 
 /// Records sent at once.
@@ -113,6 +116,9 @@
             .all(|is_sent| async move { is_sent })
             .await;
         if !sent {
+            if gate.notice.borrow().is_some() {
+                claim_holder::hand_over(gate, outbox.waiting()).await;
+            }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
--- a/programs/tests/test_once.rs
+++ b/programs/tests/test_once.rs
@@ -27,6 +27,7 @@
 use self::testutils::deployment::Deployment;
 use self::testutils::deployment::OTHER_TOKEN;
 use self::testutils::deployment::TOKEN;
+use self::testutils::deployment::entry_vm;
 use self::testutils::deployment::service;
 use self::testutils::seed;
 use self::testutils::wait_until;
@@ -521,6 +522,35 @@
     assert_eq!(runs(&deployment, "k").await, 1);
 }
 
+#[rstest]
+#[case::ignored(KeySupport::Ignored)]
+#[case::lookup(KeySupport::Lookup)]
+#[tokio::test]
+async fn test_once_reclaimed_gate_sends_the_caller_on(#[case] keys: KeySupport) {
+    let mut deployment = bookings(2, keys, 4000).await;
+    let http = deployment.http.clone();
+    let gate = deployment.entries[0].callers();
+    let send = tokio::spawn(async move { http.send(gate, booking("k")).await });
+    wait_until("the booking runs", LIMIT, async || {
+        running(&deployment).await == 1
+    })
+    .await;
+    deployment.give_notice(&entry_vm(0), 2500).await;
+    let sent_on = send.await.unwrap().unwrap();
+    assert_eq!(sent_on.status, 307, "{}", sent_on.text());
+    let other = deployment.entries[1].callers().to_string();
+    assert!(sent_on.header("location").contains(&other));
+    deployment.entries[0].gate.kill();
+    deployment.entries[0].controller.kill();
+    let answer = book(&deployment, 1, "k").await.unwrap();
+    if keys == KeySupport::Lookup {
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    } else {
+        assert_eq!(outcome(&answer), "unknown", "{}", answer.text());
+    }
+    assert_eq!(runs(&deployment, "k").await, 1);
+}
+
 #[tokio::test]
 async fn test_once_claims_outlive_their_records_behind_a_checkpoint() {
     let mut deployment =
