--- a/lab/src/experiment_rollouts.rs
+++ b/lab/src/experiment_rollouts.rs
@@ -53,6 +53,10 @@
             "Bad versions by kind, all seeds",
             &["policy", "kind", "taken back", "requests p50/max"],
         );
+        let mut alarms = Table::new(
+            "Good versions taken back and bad ones kept",
+            &["policy", "version", "requests a second", "in the middle", "served", "reason"],
+        );
         for policy in &self.policies {
             let mut all = Vec::new();
             for seed in &seeds {
@@ -61,9 +65,12 @@
                 all.extend(trials);
             }
             add_kinds(&mut kinds, *policy, &all);
+            if *policy == RolloutPolicy::Sequential {
+                add_errors(&mut alarms, *policy, &all);
+            }
         }
         Report {
-            tables: vec![sums, kinds],
+            tables: vec![sums, kinds, alarms],
         }
     }
 
@@ -148,6 +155,24 @@
     }
 }
 
+/// Lists the moves that ended against the truth.
+fn add_errors(table: &mut Table, policy: RolloutPolicy, trials: &[Trial]) {
+    for (version, outcome) in trials {
+        let is_bad = version.fault.is_some();
+        if is_bad == (outcome.ending == MoveEnding::TakenBack) {
+            continue;
+        }
+        table.push(vec![
+            format!("{policy:?}"),
+            version.fault.map_or_else(|| String::from("good"), |f| format!("{f:?}")),
+            format!("{:.1}", version.rate),
+            format!("{:?}", version.disturbance),
+            outcome.served.to_string(),
+            outcome.reason.clone().unwrap_or_default(),
+        ]);
+    }
+}
+
 /// Names the way in which a version is bad.
 fn kind(version: &SimulatedVersion) -> Option<String> {
     let (fault, onset) = version.fault?;
--- a/lab/src/rollout_model.rs
+++ b/lab/src/rollout_model.rs
@@ -142,7 +142,7 @@
 }
 
 /// What came of a simulated move.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct MoveOutcome {
     /// How it ended.
     pub ending: MoveEnding,
@@ -152,6 +152,8 @@
     pub served_bad: u64,
     /// Time from the third spoilt answer to the end of the new version's traffic.
     pub exposure: Option<Duration>,
+    /// Why the version was taken back.
+    pub reason: Option<String>,
 }
 
 /// Spoilt answers after which a version's badness shows.
@@ -211,7 +213,13 @@
         let rows = traffic.rows(time);
         let now = Timestamp(time);
         match policy.decide(&mut test, &spec, &service, step, &rows, now) {
-            Decision::Stop(_) => return traffic.outcome(MoveEnding::TakenBack, time),
+            Decision::Stop(reason) => {
+                let outcome = traffic.outcome(MoveEnding::TakenBack, time);
+                return MoveOutcome {
+                    reason: Some(reason),
+                    ..outcome
+                };
+            }
             Decision::Finish => return traffic.outcome(MoveEnding::Done, time),
             Decision::Raise(next) => step = Some(next),
             Decision::Hold => {}
@@ -332,6 +340,7 @@
             served: self.served,
             served_bad: self.served_bad,
             exposure: shown.map(|at| Duration::from_millis(time - at)),
+            reason: None,
         }
     }
 }
--- a/lib/src/version_test.rs
+++ b/lib/src/version_test.rs
@@ -28,7 +28,7 @@
 const FAILURE_EXCESS: [f64; 2] = [0.05, 0.2];
 
 /// Probability by which bad versions exceed good ones in slow answers.
-const SLOW_EXCESS: [f64; 2] = [0.2, 0.4];
+const SLOW_EXCESS: [f64; 2] = [0.3, 0.5];
 
 /// Least probability of failure that is assumed of a good version.
 const LEAST_FAILURE: f64 = 0.01;
@@ -42,6 +42,12 @@
 /// Weight of the long-term rate when the rate of one window is estimated, in requests.
 const PRIOR_REQUESTS: f64 = 20.0;
 
+/// Standard deviations above the long-term rate from which conditions count as changed.
+const SURPRISE: f64 = 1.5;
+
+/// Windows before and after one whose requests of the old version are compared with it.
+const NEAR_WINDOWS: u64 = 2;
+
 /// Share of the old version's answers that may be slower than the bound of slow answers,
 /// in thousandths.
 const SLOW_SHARE: u64 = 150;
@@ -156,10 +162,10 @@
     }
 }
 
-/// Returns the old version's counters in a window and its neighbours.
+/// Returns the old version's counters in the windows next to one and in it.
 fn near_window(windows: &Windows, window: u64) -> Counters {
     let mut near = Counters::default();
-    for other in window.saturating_sub(1)..=window + 1 {
+    for other in window.saturating_sub(NEAR_WINDOWS)..=window + NEAR_WINDOWS {
         if let Some((_, old)) = windows.get(&other) {
             add(&mut near, old);
         }
@@ -200,10 +206,21 @@
     }
 }
 
-/// Returns the rate of one window, drawn towards the long-term rate.
+/// Returns the rate to expect of a good version in one window.
+///
+/// The rate next to the window is drawn towards the long-term one. When it is higher than
+/// chance explains, conditions have changed for both versions: it then counts alone, with its
+/// standard error added.
 fn expected(near: (u64, u64), long: (u64, u64)) -> f64 {
     let long_term = (long.0 as f64 + 0.5) / (long.1 as f64 + 1.0);
-    (near.0 as f64 + PRIOR_REQUESTS * long_term) / (near.1 as f64 + PRIOR_REQUESTS)
+    let (bad, all) = (near.0 as f64, near.1 as f64);
+    let chance = (all * long_term * (1.0 - long_term)).sqrt();
+    if bad - all * long_term <= SURPRISE * chance {
+        return (bad + PRIOR_REQUESTS * long_term) / (all + PRIOR_REQUESTS);
+    }
+    let weight = all + 1.0;
+    let rate = (bad + long_term) / weight;
+    rate + (rate * (1.0 - rate) / weight).sqrt()
 }
 
 /// Returns the log-likelihood ratio of a bad version to a good one for one window.
