--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::CostExperiment;
 use crate::Report;
 use crate::RolloutExperiment;
 
@@ -13,6 +14,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
 pub enum Experiment {
+    /// Simulated days of a service's machines.
+    Cost(CostExperiment),
     /// Moves to simulated versions.
     Rollouts(RolloutExperiment),
 }
@@ -41,6 +44,7 @@
     /// Runs the experiment; `seed` replaces the declared seeds.
     pub fn run(self, seed: Option<u64>) -> Report {
         match self {
+            Self::Cost(experiment) => experiment.run(seed),
             Self::Rollouts(experiment) => experiment.run(seed),
         }
     }
