--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -24,6 +24,7 @@
 mod reply;
 mod report;
 mod rollout_model;
+mod site;
 mod stream;
 mod weights;
 
@@ -42,4 +43,7 @@
 pub use reply::*;
 pub use report::*;
 pub use rollout_model::*;
+pub use site::Site;
+pub use site::SiteEntry;
+pub use site::SiteError;
 pub use weights::*;
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -9,7 +9,6 @@
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::AttemptId;
 use crate::ClaimKey;
@@ -21,7 +20,6 @@
 use crate::Gate;
 use crate::IDEMPOTENCY_HEADER;
 use crate::KeySupport;
-use crate::NodeName;
 use crate::Progress;
 use crate::ReplyBody;
 use crate::Result;
@@ -33,10 +31,10 @@
 use crate::claim_holder;
 use crate::claim_holder::Holder;
 use crate::claim_holder::Holders;
-use crate::claim_outbox::ClaimOutbox;
 use crate::full_body;
 use crate::once_dispatch;
 use crate::once_dispatch::Dispatched;
+use crate::outbox::Outbox;
 
 /// Time by which an answer may exceed the deadline, so that a refusal can still be told from an
 /// unknown outcome.
@@ -48,6 +46,9 @@
 /// Time for which a controller is asked to wait for the end of another attempt.
 const JOIN_WAIT: Duration = Duration::from_millis(500);
 
+/// Silence of the holder's gate after which it counts as gone.
+const SILENT_LIMIT: Duration = Duration::from_secs(5);
+
 /// Pause after which an attempt asks again.
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -58,7 +59,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Once {
     pub(crate) holders: Holders,
-    pub(crate) outbox: ClaimOutbox,
+    pub(crate) outbox: Outbox,
     tasks: TaskTracker,
 }
 
@@ -139,7 +140,7 @@
 }
 
 async fn run_keyed(gate: &Arc<Gate>, mut call: Call, key: ClaimKey) -> Result<StoredReply> {
-    let digest = digest(&call);
+    let digest = call.digest();
     mark_key(&mut call, &key);
     loop {
         if Instant::now() >= call.deadline {
@@ -207,6 +208,7 @@
     mut query: ClaimQuery,
     mut view: ClaimView,
 ) -> Result<Option<StoredReply>> {
+    let mut heard = Instant::now();
     loop {
         match view {
             ClaimView::Free | ClaimView::Won => return Ok(None),
@@ -225,8 +227,15 @@
                 gate: node,
             } => {
                 query.holder = attempt;
-                if let Some(end) = ask_holder(gate, call, &query, &node).await {
-                    return end.map(Some);
+                match claim_holder::find_holder(gate, &node, attempt).await {
+                    Holder::Present(Progress::Done { reply }) => return Ok(Some(reply)),
+                    Holder::Present(Progress::Running) => heard = Instant::now(),
+                    Holder::Unsure if heard.elapsed() < SILENT_LIMIT => {}
+                    Holder::Gone | Holder::Unsure => {
+                        if let Some(end) = give_up(gate, call, &query).await {
+                            return end.map(Some);
+                        }
+                    }
                 }
             }
             ClaimView::Pending => tokio::time::sleep(JOIN_PAUSE).await,
@@ -244,30 +253,16 @@
     }
 }
 
-/// Asks the gate of the attempt that holds the claim; gives the attempt up when it is gone.
-async fn ask_holder(
-    gate: &Gate,
-    call: &Call,
-    query: &ClaimQuery,
-    node: &NodeName,
-) -> Option<Result<StoredReply>> {
-    match claim_holder::find_holder(gate, node, query.holder).await {
-        Holder::Present(Progress::Done { reply }) => Some(Ok(reply)),
-        Holder::Present(Progress::Running) | Holder::Unsure => None,
-        Holder::Gone => {
-            let view = recheck(gate, query).await;
-            if !matches!(view, Some(ClaimView::Held { attempt, .. }) if attempt == query.holder) {
-                return None;
-            }
-            gate.once.outbox.push(crate::claim::abandonment(
-                gate,
-                query.key.clone(),
-                query.holder,
-            ));
-            let end = find_answer(gate, call, &query.key, query.holder).await;
-            end.transpose()
-        }
+/// Gives the attempt that holds the claim up, unless its end has come from the log.
+async fn give_up(gate: &Gate, call: &Call, query: &ClaimQuery) -> Option<Result<StoredReply>> {
+    let view = recheck(gate, query).await;
+    if !matches!(view, Some(ClaimView::Held { attempt, .. }) if attempt == query.holder) {
+        return None;
     }
+    let record = crate::claim::abandonment(gate, query.key.clone(), query.holder);
+    gate.once.outbox.push(record);
+    let end = find_answer(gate, call, &query.key, query.holder).await;
+    end.transpose()
 }
 
 /// Reads the claim once more, since its end may have reached the log a moment ago.
@@ -304,20 +299,6 @@
         .collect()
 }
 
-/// Returns the hash (xxh3, 64 bits) of a call's method, path and body.
-fn digest(call: &Call) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [
-        call.method.as_str().as_bytes(),
-        call.path.as_bytes(),
-        &call.body,
-    ] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
-}
-
 /// Gives the call the key that endpoints with key support get.
 fn mark_key(call: &mut Call, key: &ClaimKey) {
     if call.service.keys == KeySupport::Ignored {
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -24,6 +24,7 @@
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::counters::Count;
+use crate::crash;
 use crate::full_body;
 use crate::retry;
 use crate::router;
@@ -71,7 +72,8 @@
     }
 }
 
-fn check_crashes(gate: &Gate, call: &Call) -> Result<()> {
+/// Refuses a call that has crashed too many endpoints.
+pub(crate) fn check_crashes(gate: &Gate, call: &Call) -> Result<()> {
     let table = gate.table();
     gate.crashes
         .check(call.digest(), table.as_ref().map(|t| &t.live))
@@ -115,6 +117,7 @@
         SampleOutcome::Ok
     };
     judge(gate, call, endpoint, outcome, first_byte);
+    gate.learn(&endpoint.name, call, first_byte);
     Ok(answer)
 }
 
@@ -147,12 +150,15 @@
 }
 
 /// Records what a failed attempt says of the version and of the request.
-async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
+pub(crate) async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
     match error {
-        AttemptError::Unsent(_) | AttemptError::Status(_) => {}
+        AttemptError::Unsent(_) => {}
+        AttemptError::Status(_) => gate.limits.update(&endpoint.name, |limit| {
+            limit.refused(Instant::now());
+        }),
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
         AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
-            gate.crashes.observe(call.digest(), endpoint).await;
+            crash::observe(gate, call, endpoint).await;
         }
         AttemptError::Silent => {
             let limit = gate.settings.limits.progress;
@@ -161,7 +167,8 @@
     }
 }
 
-fn judge(
+/// Counts an attempt as evidence about the endpoint's version.
+pub(crate) fn judge(
     gate: &Gate,
     call: &Call,
     endpoint: &Endpoint,
@@ -171,6 +178,9 @@
     if outcome == SampleOutcome::Failed && gate.leaving(endpoint).is_some() {
         return;
     }
+    if outcome == SampleOutcome::Ok {
+        gate.crashes.answers(&endpoint.name);
+    }
     gate.evidence
         .record_call(call, &endpoint.version, outcome, first_byte);
 }
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -23,10 +23,14 @@
 use crate::Timestamp;
 use crate::Usage;
 use crate::VersionName;
+use crate::admission;
+use crate::admission::Admitted;
+use crate::admission::Permit;
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::completion::Completion;
 use crate::counters::Count;
+use crate::crash;
 use crate::engine_stream;
 use crate::engine_stream::EngineStream;
 use crate::engine_stream::StreamItem;
@@ -88,6 +92,8 @@
     pub(crate) stays: bool,
     /// Endpoint under notice on which the stream is to finish.
     pub(crate) finishing: Option<EndpointName>,
+    /// Held while the request is in progress.
+    pub(crate) permit: Option<Permit>,
     pub(crate) out: UnboundedSender<RelayItem>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) notice: watch::Receiver<Option<Timestamp>>,
@@ -126,6 +132,7 @@
             first: None,
             stays: false,
             finishing: None,
+            permit: None,
             out,
             table: gate.subscribe_table(),
             notice: gate.notice.subscribe(),
@@ -156,6 +163,9 @@
         match end {
             Ok(End::Done) => {
                 self.judge(SampleOutcome::Ok);
+                if let Some(permit) = self.permit.take() {
+                    permit.finish();
+                }
                 let _ = out.send(RelayItem::Done(self.usage));
             }
             Ok(End::HandedOver) => {}
@@ -186,6 +196,10 @@
         if self.run.is_some() {
             self.pass_on_known();
             self.reopen().await;
+        } else if let Admitted::Now(permit) =
+            admission::admit(&self.gate, &self.call, self.wanted.cost()).await?
+        {
+            self.permit = Some(permit);
         }
         loop {
             if self.finished || self.text.position() >= self.wanted.known.max_tokens {
@@ -230,7 +244,11 @@
         self.failures = 0;
         self.tried.clear();
         if let (None, Some(at)) = (self.first, self.dispatched) {
-            self.first = Some(at.elapsed());
+            let first = at.elapsed();
+            self.first = Some(first);
+            if let Some(run) = &self.run {
+                self.gate.learn(&run.endpoint.name, &self.call, first);
+            }
         }
         self.finished |= token.finish.is_some();
         if let (Some(usage), Some(run)) = (token.usage, &self.run) {
@@ -314,6 +332,9 @@
         if outcome == SampleOutcome::Failed && self.gate.leaving(endpoint).is_some() {
             return;
         }
+        if outcome == SampleOutcome::Ok {
+            self.gate.crashes.answers(&endpoint.name);
+        }
         let first = self.first.unwrap_or_default();
         self.gate
             .evidence
@@ -323,10 +344,13 @@
     /// Records what a failed attempt says of the version and of the request.
     pub(crate) async fn blame(&self, endpoint: &Endpoint, error: &AttemptError) {
         match error {
-            AttemptError::Unsent(_) | AttemptError::Crossed | AttemptError::Status(429 | 503) => {}
+            AttemptError::Unsent(_) => {}
+            AttemptError::Status(429 | 503) => self.gate.limits.update(&endpoint.name, |limit| {
+                limit.refused(Instant::now());
+            }),
+            AttemptError::Crossed => self.gate.counters.add(Count::Crossed, 1),
             AttemptError::MaybeSent(_) => {
-                let digest = self.call.digest();
-                self.gate.crashes.observe(digest, endpoint).await;
+                crash::observe(&self.gate, &self.call, endpoint).await;
             }
             AttemptError::Silent | AttemptError::Truncated(_) | AttemptError::Status(_) => {
                 self.judge_fault(endpoint, SampleOutcome::Failed);
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of `hawthorn-lab`, one a module.
 
 mod cloud;
+mod demo;
 mod engine;
 mod experiment;
 mod log;
@@ -21,6 +22,7 @@
 use tracing_subscriber::EnvFilter;
 
 use self::cloud::CloudCommand;
+use self::demo::DemoCommand;
 use self::engine::EngineCommand;
 use self::experiment::ExperimentCommand;
 use self::log::LogCommand;
@@ -44,6 +46,7 @@
 #[argh(subcommand)]
 enum Command {
     Cloud(CloudCommand),
+    Demo(DemoCommand),
     Engine(EngineCommand),
     Experiment(ExperimentCommand),
     Log(LogCommand),
@@ -79,6 +82,7 @@
         runtime.block_on(async {
             match self {
                 Self::Cloud(command) => command.run().await,
+                Self::Demo(command) => command.run().await,
                 Self::Engine(command) => command.run().await,
                 Self::Experiment(command) => command.run().await,
                 Self::Log(command) => command.run().await,
