programs: process tests of connections gone silent

Found by them and mended; failing first: test_silent_idle_connections_to_an_endpoint_are_replaced: assertion `left == right` failed: {"type":"urn:hawthornrack:problem:endpoint_failed", "status":502,"detail":"the endpoint made no progress in time","outcome":"unknown"} left: 502 right: 200 A repeatable call on an idle connection that stays silent is now sent again on a new connection after the progress limit, to the same endpoint too, and is not evidence against the version. wait_in_force now asks the gates as well: a test that started right after a declaration met a gate without the endpoint (test_silent_connection_of_a_caller_is_resumed_at_the_same_gate: no entry found for key "x-resume-token").

--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -54,6 +54,8 @@
     Crossed,
     /// the endpoint made no progress in time
     Silent,
+    /// an idle connection that was used again made no progress in time
+    Stale,
     /// the answer ended early: {0}
     Truncated(String),
     /// the endpoint answered with status {0}
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -82,6 +82,12 @@
     since: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.since.elapsed() < IDLE_LIMIT
+    }
+}
+
 /// Pool of HTTP/1 connections; clones share the pool.
 #[derive(Clone, Debug, Default)]
 pub struct HttpClient {
@@ -214,12 +220,18 @@
         }
     }
 
+    /// Tells whether an idle connection to a server is kept.
+    pub(crate) fn has_idle(&self, server: SocketAddr) -> bool {
+        let idle = self.idle.lock();
+        let mut kept = idle.get(&server).into_iter().flatten();
+        kept.any(IdleConnection::is_usable)
+    }
+
     fn take_idle(&self, server: SocketAddr) -> Option<SendRequest<CallBody>> {
         let mut idle = self.idle.lock();
         let queue = idle.get_mut(&server)?;
         while let Some(connection) = queue.pop_back() {
-            let usable = connection.sender.is_ready() && connection.since.elapsed() < IDLE_LIMIT;
-            if usable {
+            if connection.is_usable() {
                 return Some(connection.sender);
             }
         }
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -57,7 +57,10 @@
         blame(gate, &call, &endpoint, &failed).await;
         last = failure(&call, &failed, last.outcome() != Outcome::NotRun);
         failures += 1;
-        tried.push(endpoint.name);
+        // A silent connection says nothing about its endpoint; a new one may work.
+        if !matches!(failed, AttemptError::Stale) {
+            tried.push(endpoint.name);
+        }
         let may_retry = failed.is_unsent() || call.is_repeatable();
         if !may_retry || failures >= MAX_ATTEMPTS || !gate.budget.spend(&call.service.name) {
             check_crashes(gate, &call)?;
@@ -79,9 +82,14 @@
         .check(call.digest(), table.as_ref().map(|t| &t.live))
 }
 
+/// Chooses an endpoint that has not been tried or, when there is none, any again.
 fn choose(gate: &Gate, call: &Call, tried: &[EndpointName]) -> Option<Endpoint> {
     let table = gate.table()?;
-    router::choose(gate, &table, call, None, tried)
+    let chosen = router::choose(gate, &table, call, None, tried);
+    if chosen.is_some() || gate.crashes.is_suspect(call.digest()) {
+        return chosen;
+    }
+    router::choose(gate, &table, call, None, &[])
 }
 
 async fn attempt_once(
@@ -92,9 +100,10 @@
 ) -> Result<(Parts, Bytes), AttemptError> {
     let _guard = gate.in_flight.enter(&endpoint.name);
     let attempt = AttemptId::random();
-    let reuse = match failures {
-        0 => Reuse::Idle,
-        _ => Reuse::Never,
+    let reuse = if failures == 0 && gate.http.has_idle(endpoint.address) {
+        Reuse::Idle
+    } else {
+        Reuse::Never
     };
     gate.kernel.events.record(
         "request.dispatched",
@@ -106,8 +115,12 @@
         ],
     );
     let started = Instant::now();
-    let limit = patience(gate, call);
-    let answer = attempt::dispatch(&gate.http, endpoint, call, attempt, reuse, limit).await?;
+    let limit = patience(gate, call, reuse);
+    let answer = attempt::dispatch(&gate.http, endpoint, call, attempt, reuse, limit).await;
+    let answer = match answer {
+        Err(AttemptError::Silent) if reuse == Reuse::Idle => Err(AttemptError::Stale),
+        other => other,
+    }?;
     let first_byte = started.elapsed();
     let progress = limit.min(gate.settings.limits.progress);
     let answer = attempt::read_whole(&gate.http, answer, progress).await?;
@@ -122,11 +135,14 @@
 
 /// Returns the time within which an endpoint must begin its answer.
 ///
-/// An attempt that cannot be followed by another may take all the time that is left.
-fn patience(gate: &Gate, call: &Call) -> Duration {
+/// An attempt that cannot be followed by another may take all the time that is left. One on an
+/// idle connection, which may have gone silent, gets no more than a step of progress.
+fn patience(gate: &Gate, call: &Call, reuse: Reuse) -> Duration {
     let left = call.deadline.saturating_duration_since(Instant::now());
     let share = call.route.timeout / MAX_ATTEMPTS;
-    if call.is_repeatable() {
+    if call.is_repeatable() && reuse == Reuse::Idle {
+        left.min(gate.settings.limits.progress)
+    } else if call.is_repeatable() {
         left.min(share.max(gate.settings.limits.progress))
     } else {
         left
@@ -151,7 +167,7 @@
 /// Records what a failed attempt says of the version and of the request.
 pub(crate) async fn blame(gate: &Gate, call: &Call, endpoint: &Endpoint, error: &AttemptError) {
     match error {
-        AttemptError::Unsent(_) | AttemptError::Status(_) => {}
+        AttemptError::Stale | AttemptError::Status(_) | AttemptError::Unsent(_) => {}
         AttemptError::Crossed => gate.counters.add(Count::Crossed, 1),
         AttemptError::MaybeSent(_) | AttemptError::Truncated(_) => {
             crash::observe(gate, call, endpoint).await;
--- a/lib/src/stream_open.rs
+++ b/lib/src/stream_open.rs
@@ -116,7 +116,8 @@
         let body = self.wanted.body_after(text, position);
         let request = attempt::endpoint_request(endpoint, &self.call, body, attempt);
         let guard = self.gate.in_flight.enter(&endpoint.name);
-        let reuse = if self.tried.is_empty() {
+        let has_idle = self.gate.http.has_idle(endpoint.address);
+        let reuse = if self.tried.is_empty() && has_idle {
             Reuse::Idle
         } else {
             Reuse::Never
@@ -132,7 +133,10 @@
             reuse,
             limit,
         );
-        let answer = sent.await?;
+        let answer = match sent.await {
+            Err(AttemptError::Silent) if reuse == Reuse::Idle => Err(AttemptError::Stale),
+            other => other,
+        }?;
         if !engine_stream::is_event_stream(&answer) {
             return self.pass_on(endpoint, answer).await;
         }
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -327,7 +327,7 @@
     /// Records what a failed attempt says of the version and of the request.
     pub(crate) async fn blame(&self, endpoint: &Endpoint, error: &AttemptError) {
         match error {
-            AttemptError::Unsent(_) | AttemptError::Status(429 | 503) => {}
+            AttemptError::Stale | AttemptError::Status(429 | 503) | AttemptError::Unsent(_) => {}
             AttemptError::Crossed => self.gate.counters.add(Count::Crossed, 1),
             AttemptError::MaybeSent(_) => {
                 crash::observe(&self.gate, &self.call, endpoint).await;
--- a/programs/tests/test_silent.rs
+++ b/programs/tests/test_silent.rs
@@ -173,7 +173,7 @@
     deployment.declare(&[tutor]).await;
     let callers = deployment.entries[0].callers();
     let mut stream = deployment.http.stream(callers, completion()).await.unwrap();
-    let begin = read_begin(&mut stream, 10).await;
+    let head = read_begin(&mut stream, 10).await;
     deployment
         .proxy
         .set_mode("endpoint-engine-1", LinkMode::FreezeExisting)
@@ -181,7 +181,7 @@
     let begun = Instant::now();
     let rest = read_rest(&mut stream, 10).await;
     assert!(begun.elapsed() < RECOVERY_LIMIT, "{:?}", begun.elapsed());
-    assert_eq!(begin + &rest, generate_text("a b", TOKENS));
+    assert_eq!(head + &rest, generate_text("a b", TOKENS));
     let stats: EngineStats = deployment.stats("engine-1").await;
     assert_eq!(
         (stats.runs, stats.resumed),
@@ -204,7 +204,7 @@
         .to_str()
         .unwrap()
         .to_owned();
-    let begin = read_begin(&mut stream, 10).await;
+    let head = read_begin(&mut stream, 10).await;
     deployment
         .proxy
         .set_mode("gate-0", LinkMode::FreezeExisting)
@@ -216,5 +216,5 @@
     let mut again = deployment.http.stream(callers, call).await.unwrap();
     let rest = read_rest(&mut again, 10).await;
     assert!(begun.elapsed() < RECOVERY_LIMIT, "{:?}", begun.elapsed());
-    assert_eq!(begin + &rest, generate_text("a b", TOKENS));
+    assert_eq!(head + &rest, generate_text("a b", TOKENS));
 }
--- a/programs/tests/testutils/deployment.rs
+++ b/programs/tests/testutils/deployment.rs
@@ -407,8 +407,7 @@
         }
     }
 
-    /// Waits until every controller has the same configuration in force, and every gate has
-    /// had the time to get it.
+    /// Waits until every controller and every gate has the same configuration in force.
     pub async fn wait_in_force(&self, limit: Duration) -> Duration {
         wait_until(
             "the same configuration is in force everywhere",
@@ -419,6 +418,11 @@
                     let report = status_of(entry.operators()).await;
                     offsets.push(report.map(|r| r.next).ok());
                 }
+                let rpc = self.rpc();
+                for entry in &self.entries {
+                    let gate = entry.gate.address("rpc");
+                    offsets.push(super::in_force::offset_at(&rpc, gate).await);
+                }
                 offsets
                     .windows(2)
                     .all(|pair| pair[0].is_some() && pair[0] == pair[1])
