--- a/lab/src/fleet_model.rs
+++ b/lab/src/fleet_model.rs
@@ -239,7 +239,11 @@
         for (class, price, capacity) in CLASSES {
             for market in [Market::OnDemand, Market::Reclaimable] {
                 let is_reclaimable = market == Market::Reclaimable;
-                let part = if is_reclaimable { RECLAIMABLE_PART } else { 1.0 };
+                let part = if is_reclaimable {
+                    RECLAIMABLE_PART
+                } else {
+                    1.0
+                };
                 offers.push(Offer {
                     class: class.to_owned(),
                     domain: DomainName::new(domain).expect("the name is valid"),
