gossip: changes that a peer knows already are passed on less often; load in coarse steps

Without this each node sends each change 3 log2 n times whatever others know, and each gate's load is a change every few hundred milliseconds: bytes per node would grow with the nodes.

--- a/lib/src/entries.rs
+++ b/lib/src/entries.rs
@@ -20,7 +20,7 @@
 const LIST_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Load above which an entry is left out, in thousandths.
-const OVERLOADED: u32 = 900;
+pub const OVERLOADED: u32 = 900;
 
 /// Addresses of entries, best first.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/lib/src/fact_store.rs
+++ b/lib/src/fact_store.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Passes facts on less often that a peer had already heard of.
+    pub fn damp(&mut self, facts: &[Fact]) {
+        for key in facts.iter().map(Fact::key) {
+            if let Some(sends) = self.pending.get_mut(&key) {
+                *sends = sends.saturating_sub(SENDS_PER_DOUBLING);
+            }
+        }
+        self.pending.retain(|_, sends| *sends > 0);
+    }
+
     /// Tells whether any change is to be passed on.
     pub fn has_pending(&self) -> bool {
         !self.pending.is_empty()
--- a/lib/src/gossip_rpc.rs
+++ b/lib/src/gossip_rpc.rs
@@ -65,6 +65,17 @@
     pub facts: Vec<Fact>,
 }
 
+/// Answer to facts.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct PushReply {
+    /// Sender's hybrid time.
+    #[serde(rename = "t")]
+    pub time: HybridTime,
+    /// Whether any of the facts was news.
+    #[serde(rename = "n")]
+    pub is_news: bool,
+}
+
 /// Digests of what one node knows.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SyncRequest {
@@ -98,7 +109,7 @@
 pub trait GossipRpc {
     /// Hands over changes.
     #[method(name = "push")]
-    async fn push(&self, message: GossipMessage) -> RpcResult<HybridTime>;
+    async fn push(&self, message: GossipMessage) -> RpcResult<PushReply>;
 
     /// Compares digests and returns the facts that differ.
     #[method(name = "sync")]
@@ -137,12 +148,15 @@
 
 #[async_trait]
 impl GossipRpcServer for GossipService {
-    async fn push(&self, message: GossipMessage) -> RpcResult<HybridTime> {
+    async fn push(&self, message: GossipMessage) -> RpcResult<PushReply> {
         let controller = &self.0;
         controller.kernel.events.observe(message.time);
         controller.contact.peer_heard();
-        controller.live.merge(message.facts);
-        Ok(controller.kernel.events.time())
+        let is_news = controller.live.merge(message.facts);
+        Ok(PushReply {
+            time: controller.kernel.events.time(),
+            is_news,
+        })
     }
 
     async fn sync(&self, request: SyncRequest) -> RpcResult<SyncReply> {
@@ -210,8 +224,11 @@
         };
         client.push(message).await
     };
-    let time = controller.rpc.call_twice(peer, PEER_TIMEOUT, push).await?;
-    controller.kernel.events.observe(time);
+    let reply = controller.rpc.call_twice(peer, PEER_TIMEOUT, push).await?;
+    controller.kernel.events.observe(reply.time);
+    if !reply.is_news {
+        controller.live.damp(facts);
+    }
     controller.contact.peer_heard();
     Ok(())
 }
--- a/lib/src/live_store.rs
+++ b/lib/src/live_store.rs
@@ -125,24 +125,27 @@
         self.merge(vec![Fact::Gate(ended)]);
     }
 
-    /// Merges facts from a peer, a gate or this node.
-    pub(crate) fn merge(&self, facts: Vec<Fact>) {
+    /// Merges facts from a peer, a gate or this node, and tells whether any was news.
+    pub(crate) fn merge(&self, facts: Vec<Fact>) -> bool {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         let mut publish = false;
         let mut urgent = false;
+        let mut is_news = false;
         for fact in facts {
             if let Some(refutation) = inner.refutation(&fact, now) {
                 self.record_refutation(&refutation);
                 inner.own = refutation.clone();
                 inner.facts.merge(Fact::Member(refutation), now);
                 publish = true;
+                is_news = true;
                 continue;
             }
             let before = self.record_before(&inner, &fact);
             if inner.facts.merge(fact.clone(), now) {
                 self.record_change(before, &fact);
                 urgent |= fact.is_urgent();
+                is_news = true;
                 inner.stale = true;
                 publish |= !matches!(fact, Fact::Evidence(_));
             }
@@ -153,6 +156,7 @@
         if urgent {
             self.urgent.notify_one();
         }
+        is_news
     }
 
     /// Waits until a fact has come that is sent at once.
@@ -170,6 +174,11 @@
         self.inner.lock().facts.requeue(facts);
     }
 
+    /// Passes facts on less often that a peer had already heard of.
+    pub(crate) fn damp(&self, facts: &[Fact]) {
+        self.inner.lock().facts.damp(facts);
+    }
+
     /// Returns a digest of each bucket of facts.
     pub(crate) fn digests(&self) -> Vec<u64> {
         self.inner.lock().facts.digests(self.clock.now())
--- a/lib/src/reports.rs
+++ b/lib/src/reports.rs
@@ -17,6 +17,7 @@
 use crate::GateInfo;
 use crate::MoveName;
 use crate::NodeName;
+use crate::OVERLOADED;
 use crate::Origin;
 use crate::Stamp;
 use crate::Stop;
@@ -31,7 +32,7 @@
 const MAX_CRASHES: usize = 4096;
 
 /// Change of the load that is reported, in thousandths.
-const LOAD_STEP: u32 = 100;
+const LOAD_STEP: u32 = 250;
 
 #[derive(Debug, Default)]
 struct Inner {
@@ -133,7 +134,8 @@
         let inner = self.inner.lock();
         inner.info.as_ref().is_none_or(|told| {
             let load_changed = told.load.abs_diff(info.load) >= LOAD_STEP;
-            load_changed || told.accepting != info.accepting
+            let crossed = (told.load > OVERLOADED) != (info.load > OVERLOADED);
+            load_changed || crossed || told.accepting != info.accepting
         })
     }
 
