--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -7,8 +7,10 @@
 use jsonrpsee::Methods;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::Endpoint;
+use crate::EndpointName;
 use crate::EvidenceRecorder;
 use crate::EvidenceRow;
 use crate::GateCounts;
@@ -24,17 +26,24 @@
 use crate::ServerLimits;
 use crate::SharedKey;
 use crate::Timestamp;
+use crate::admission::Admission;
+use crate::call::Call;
+use crate::concurrency_limit::EndpointLimits;
 use crate::controller::bind;
 use crate::controller::bound;
 use crate::controller::internal;
 use crate::counters::GateCounters;
 use crate::crash::Crashes;
+use crate::deferred_runner::Runs;
 use crate::gate_http;
 use crate::hand_over::HandedStates;
 use crate::in_flight::InFlight;
 use crate::isolation::Isolation;
+use crate::metrics::Metrics;
+use crate::metrics::RequestMetrics;
 use crate::once;
 use crate::once::Once;
+use crate::ops::serve_ops;
 use crate::reclaim::TransferCosts;
 use crate::routing_table::RoutingTable;
 use crate::rpc_server::serve_rpc;
@@ -54,6 +63,7 @@
     pub(crate) settings: GateSettings,
     pub(crate) addrs: GateAddrs,
     pub(crate) http: HttpClient,
+    pub(crate) deferred: Runs,
     pub(crate) in_flight: InFlight,
     /// What the gate has to report to its controller.
     pub(crate) reports: Reports,
@@ -63,7 +73,11 @@
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     pub(crate) key: SharedKey,
     pub(crate) budget: RetryBudget,
+    pub(crate) admission: Admission,
+    pub(crate) limits: EndpointLimits,
     pub(crate) counters: GateCounters,
+    pub(crate) metrics: Metrics,
+    pub(crate) requests: RequestMetrics,
     pub(crate) crashes: Crashes,
     pub(crate) evidence: EvidenceRecorder,
     pub(crate) handed: HandedStates,
@@ -84,6 +98,8 @@
     pub callers: SocketAddr,
     /// RPC port for other gates.
     pub rpc: SocketAddr,
+    /// Port for metrics and health.
+    pub ops: SocketAddr,
 }
 
 impl Gate {
@@ -97,18 +113,23 @@
         let key = SharedKey::read(&settings.secret_file)?;
         let callers = bind(settings.listen).await?;
         let rpc = bind(settings.rpc).await?;
+        let ops = bind(settings.ops).await?;
+        let metrics = Metrics::new()?;
         let addrs = GateAddrs {
             callers: bound(&callers)?,
             rpc: bound(&rpc)?,
+            ops: bound(&ops)?,
         };
         let kernel = Kernel::new(&process, settings.place.node.clone());
         let reports = Reports::new(kernel.node.clone(), kernel.clock.now());
+        let routing = settings.routing;
         let gate = Arc::new(Self {
             evidence: EvidenceRecorder::new(kernel.clock),
             kernel,
             settings,
             addrs,
             http: HttpClient::new(),
+            deferred: Runs::default(),
             in_flight: InFlight::default(),
             reports,
             once: Once::default(),
@@ -116,7 +137,11 @@
             table: watch::Sender::new(None),
             key: key.clone(),
             budget: RetryBudget::default(),
+            admission: Admission::default(),
+            limits: EndpointLimits::new(routing.limit, routing.concurrency),
             counters: GateCounters::default(),
+            requests: RequestMetrics::new(&metrics),
+            metrics,
             crashes: Crashes::default(),
             handed: HandedStates::default(),
             isolation: Isolation::default(),
@@ -131,6 +156,7 @@
         }
         gate.serve_rpc(rpc, key)?;
         gate.serve_callers(callers);
+        serve_ops(&gate.kernel, ops, Arc::clone(&gate));
         Ok(gate)
     }
 
@@ -211,6 +237,15 @@
         self.touch();
     }
 
+    /// Takes the time to the first byte of an answer into the limit of its endpoint.
+    pub(crate) fn learn(&self, endpoint: &EndpointName, call: &Call, first_byte: Duration) {
+        let running = self.in_flight.on(endpoint);
+        let target = call.service.target;
+        self.limits.update(endpoint, |limit| {
+            limit.answered(Instant::now(), running, first_byte, target);
+        });
+    }
+
     /// Tells whether the gate is being stopped.
     pub(crate) fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/lib/src/gate_http.rs
+++ b/lib/src/gate_http.rs
@@ -1,6 +1,7 @@
 //! Answers callers' HTTP requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::HeaderMap;
 use hyper::Method;
@@ -11,6 +12,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::LINK;
+use tokio::time::Instant;
 
 use crate::Error;
 use crate::ErrorKind;
@@ -19,7 +21,12 @@
 use crate::Result;
 use crate::RoutingTable;
 use crate::ServiceKind;
+use crate::ServiceName;
+use crate::admission;
+use crate::admission::Admitted;
 use crate::call;
+use crate::call::Call;
+use crate::deferred;
 use crate::entries::entry_answer;
 use crate::hand_over;
 use crate::model_call;
@@ -31,13 +38,19 @@
 /// Path of the list of entries.
 const ENTRIES_PATH: &str = "/v1/entries";
 
+/// Cost of a plain call, in tokens.
+pub(crate) const PLAIN_COST: f64 = 1.0;
+
 /// Answers one request.
 pub(crate) async fn answer(gate: Arc<Gate>, request: Request<Incoming>) -> Response<ReplyBody> {
     let version = request.version();
+    let started = Instant::now();
+    let service = service_of(&gate, &request);
     let mut response = match try_answer(Arc::clone(&gate), request).await {
         Ok(response) => response,
         Err(error) => problem(&error),
     };
+    count(&gate, service.as_ref(), response.status().as_u16(), started);
     if version <= Version::HTTP_11 && !gate.info().accepting {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -45,6 +58,23 @@
     response
 }
 
+/// Returns the service that a request is for, if it exists.
+fn service_of(gate: &Gate, request: &Request<Incoming>) -> Option<(ServiceName, Duration)> {
+    let name = request.uri().path().split('/').nth(1)?;
+    let name = ServiceName::new(name).ok()?;
+    let table = gate.table()?;
+    let service = &table.config.services.get(&name)?.value;
+    Some((name, service.target))
+}
+
+fn count(gate: &Gate, service: Option<&(ServiceName, Duration)>, status: u16, started: Instant) {
+    let spent = started.elapsed();
+    let name = service.map_or("", |(name, _)| name.as_str());
+    let in_target = service.is_some_and(|(_, target)| spent <= *target);
+    gate.requests
+        .answered(status, name, spent.as_secs_f64(), in_target);
+}
+
 async fn try_answer(gate: Arc<Gate>, request: Request<Incoming>) -> Result<Response<ReplyBody>> {
     check_headers(request.headers(), gate.settings.limits.headers)?;
     let table = gate
@@ -53,6 +83,9 @@
     if request.uri().path() == ENTRIES_PATH {
         return list_entries(&gate, &table, &request);
     }
+    if let Some(id) = request.uri().path().strip_prefix(deferred::JOBS_PATH) {
+        return read_job(&gate, &table, &request, id).await;
+    }
     if gate.isolation.is_isolated() {
         return Ok(withdraw(&gate));
     }
@@ -60,11 +93,55 @@
         return Ok(response);
     }
     let call = call::receive(&table, gate.settings.limits, request).await?;
+    if deferred::is_wanted(&call) {
+        return deferred::accept(&gate, call).await;
+    }
     match call.service.kind {
         ServiceKind::Model => model_call::run(&gate, call).await,
-        ServiceKind::Plain if call.is_repeatable() => run::run(&gate, call).await,
-        ServiceKind::Plain => once::run_once(&gate, call).await,
+        ServiceKind::Plain => run_plain(&gate, call).await,
+    }
+}
+
+async fn run_plain(gate: &Arc<Gate>, call: Call) -> Result<Response<ReplyBody>> {
+    let permit = match admission::admit(gate, &call, PLAIN_COST).await? {
+        Admitted::Now(permit) => permit,
+        Admitted::Leaving => {
+            let path = format!("/{}/{}", call.service.name, call.path);
+            let table = gate.table();
+            let response = table.and_then(|t| hand_over::redirect(gate, &t, &call.customer, &path));
+            return response.ok_or_else(no_peer);
+        }
+    };
+    let response = if call.is_repeatable() {
+        run::run(gate, call).await?
+    } else {
+        once::run_once(gate, call).await?
+    };
+    permit.finish();
+    Ok(response)
+}
+
+fn no_peer() -> Error {
+    Error::new(
+        ErrorKind::Leaving,
+        "this machine ends and no other takes over",
+    )
+}
+
+async fn read_job(
+    gate: &Gate,
+    table: &RoutingTable,
+    request: &Request<Incoming>,
+    id: &str,
+) -> Result<Response<ReplyBody>> {
+    if request.method() != Method::GET {
+        return Err(Error::new(
+            ErrorKind::MethodNotAllowed,
+            "a result is read with GET",
+        ));
     }
+    let customer = call::customer(table, request.headers())?;
+    deferred::read(gate, &customer, id).await
 }
 
 /// Checks the size of a header section.
@@ -89,13 +166,7 @@
     let customer = call::customer(table, request.headers())?;
     let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
     let response = hand_over::redirect(gate, table, &customer, path);
-    let refusal = || {
-        Error::new(
-            ErrorKind::Leaving,
-            "this machine ends and no other takes over",
-        )
-    };
-    response.map(Some).ok_or_else(refusal)
+    response.map(Some).ok_or_else(no_peer)
 }
 
 /// Refuses a request because a newer configuration may be in force elsewhere, and names the
--- a/lib/src/once.rs
+++ b/lib/src/once.rs
@@ -9,7 +9,6 @@
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::AttemptId;
 use crate::ClaimKey;
@@ -32,10 +31,11 @@
 use crate::claim_holder;
 use crate::claim_holder::Holder;
 use crate::claim_holder::Holders;
-use crate::claim_outbox::ClaimOutbox;
 use crate::full_body;
+use crate::hand_over;
 use crate::once_dispatch;
 use crate::once_dispatch::Dispatched;
+use crate::outbox::Outbox;
 
 /// Time by which an answer may exceed the deadline, so that a refusal can still be told from an
 /// unknown outcome.
@@ -53,6 +53,9 @@
 /// Pause after which an attempt asks again.
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time before the end of the gate's machine at which callers are sent on.
+const LAST_MOMENT: Duration = Duration::from_millis(700);
+
 /// Time for which a stopping gate waits for the log before it hands its records over.
 const FLUSH_LIMIT: Duration = Duration::from_secs(1);
 
@@ -60,7 +63,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Once {
     pub(crate) holders: Holders,
-    pub(crate) outbox: ClaimOutbox,
+    pub(crate) outbox: Outbox,
     tasks: TaskTracker,
 }
 
@@ -75,8 +78,36 @@
         service: call.service.name.clone(),
         key: key.to_owned(),
     });
-    let reply = run_claimed(gate, call, key).await?;
-    respond(reply)
+    let is_keyed = key.is_some();
+    let (customer, path) = (
+        call.customer.clone(),
+        format!("/{}/{}", call.service.name, call.path),
+    );
+    tokio::select! {
+        reply = run_claimed(gate, call, key) => respond(reply?),
+        () = last_moment(gate) => {
+            let table = gate.table().filter(|_| is_keyed);
+            let sent_on = table.and_then(|t| hand_over::redirect(gate, &t, &customer, &path));
+            sent_on.ok_or_else(|| unknown("this machine ends before the call has been answered"))
+        }
+    }
+}
+
+/// Waits until the gate's machine is about to end.
+///
+/// A caller with a key is then sent on: its resend waits elsewhere for the answer, which goes to
+/// the log. One without a key must not send its call again.
+async fn last_moment(gate: &Gate) {
+    let mut notice = gate.notice.subscribe();
+    let deadline = match notice.wait_for(Option::is_some).await {
+        Ok(deadline) => *deadline,
+        Err(_) => None,
+    };
+    let Some(deadline) = deadline else {
+        return std::future::pending().await;
+    };
+    let left = deadline.since(gate.kernel.clock.now());
+    tokio::time::sleep(left.saturating_sub(LAST_MOMENT)).await;
 }
 
 /// Runs a call under a claim on `key`, or without one.
@@ -141,7 +172,7 @@
 }
 
 async fn run_keyed(gate: &Arc<Gate>, mut call: Call, key: ClaimKey) -> Result<StoredReply> {
-    let digest = digest(&call);
+    let digest = call.digest();
     mark_key(&mut call, &key);
     loop {
         if Instant::now() >= call.deadline {
@@ -300,20 +331,6 @@
         .collect()
 }
 
-/// Returns the hash (xxh3, 64 bits) of a call's method, path and body.
-fn digest(call: &Call) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [
-        call.method.as_str().as_bytes(),
-        call.path.as_bytes(),
-        &call.body,
-    ] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
-}
-
 /// Gives the call the key that endpoints with key support get.
 fn mark_key(call: &mut Call, key: &ClaimKey) {
     if call.service.keys == KeySupport::Ignored {
--- a/programs/src/lab_commands/mod.rs
+++ b/programs/src/lab_commands/mod.rs
@@ -3,9 +3,11 @@
 mod cloud;
 mod demo;
 mod engine;
+mod experiment;
 mod log;
 mod plain;
 mod proxy;
+mod scale;
 mod weights;
 
 use std::error::Error;
@@ -23,9 +25,11 @@
 use self::cloud::CloudCommand;
 use self::demo::DemoCommand;
 use self::engine::EngineCommand;
+use self::experiment::ExperimentCommand;
 use self::log::LogCommand;
 use self::plain::PlainCommand;
 use self::proxy::ProxyCommand;
+use self::scale::ScaleCommand;
 use self::weights::WeightsCommand;
 
 /// Threads of a stand-in's runtime.
@@ -46,9 +50,11 @@
     Cloud(CloudCommand),
     Demo(DemoCommand),
     Engine(EngineCommand),
+    Experiment(ExperimentCommand),
     Log(LogCommand),
     Plain(PlainCommand),
     Proxy(ProxyCommand),
+    Scale(ScaleCommand),
     Weights(WeightsCommand),
 }
 
@@ -81,9 +87,11 @@
                 Self::Cloud(command) => command.run().await,
                 Self::Demo(command) => command.run().await,
                 Self::Engine(command) => command.run().await,
+                Self::Experiment(command) => command.run().await,
                 Self::Log(command) => command.run().await,
                 Self::Plain(command) => command.run().await,
                 Self::Proxy(command) => command.run().await,
+                Self::Scale(command) => command.run().await,
                 Self::Weights(command) => command.run().await,
             }
         })
