--- a/lib/src/deferred_runner.rs
+++ b/lib/src/deferred_runner.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use indexmap::IndexMap;
@@ -179,6 +180,7 @@
         Err(error) => return Some(stored(problem(&error)).await),
     };
     let repeatable = call.is_repeatable();
+    let is_model = call.service.kind == ServiceKind::Model;
     gate.kernel
         .events
         .record("deferred.started", &[("request", &request.id)]);
@@ -187,6 +189,8 @@
     let is_last = run.failures >= MAX_FAILURES || run.since.elapsed() >= PATIENCE;
     match result {
         Ok(reply) if reply.status >= 500 && repeatable && !is_last => None,
+        // The generation has been handed over; the gate that owns the request next picks it up.
+        Ok(reply) if is_model && reply.status == StatusCode::TEMPORARY_REDIRECT.as_u16() => None,
         Ok(reply) => Some(reply),
         Err(error) => {
             let is_final =
@@ -254,6 +258,7 @@
     Ok(Call {
         id: request.id,
         customer: request.customer.clone(),
+        affinity: None,
         deadline: Instant::now() + route.timeout,
         service,
         route,
--- a/lib/src/hand_over.rs
+++ b/lib/src/hand_over.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Returns the token of a request, whose state stays.
+    pub(crate) fn token(&self, request: RequestId) -> Option<ResumeToken> {
+        let states = self.states.lock();
+        states.get(&request).map(|state| state.token.clone())
+    }
+
     /// Takes the state of a request.
     pub(crate) fn take(&self, request: RequestId) -> Option<StreamState> {
         self.states.lock().swap_remove(&request)
--- a/lib/src/model_call.rs
+++ b/lib/src/model_call.rs
@@ -76,6 +76,10 @@
     let wanted = Completion::parse(&call.body)?;
     call.affinity = Some(wanted.affinity());
     let resume = resume_token(gate, &mut call)?;
+    let resume = resume.or_else(|| {
+        let token = gate.handed.token(call.id)?;
+        check_token(&token, &call, &wanted).is_ok().then_some(token)
+    });
     if let Some(token) = &resume {
         check_token(token, &call, &wanted)?;
         let left = token.deadline.since(gate.kernel.clock.now());
