--- a/lab/src/experiment_cost.rs
+++ b/lab/src/experiment_cost.rs
@@ -33,6 +33,7 @@
                 "price per thousand answers within target",
                 "ratio to the first policy",
                 "answers within target",
+                "minutes a day below 95 % within target",
             ],
         );
         let mut measure = None;
@@ -45,12 +46,16 @@
             let within = |o: &FleetOutcome| o.within / o.requests.max(1.0);
             let price = median(&mut outcomes.iter().map(price).collect::<Vec<_>>());
             let within = median(&mut outcomes.iter().map(within).collect::<Vec<_>>());
+            let days = self.fleet.days.saturating_sub(1).max(1) as f64;
+            let missed = |o: &FleetOutcome| o.missed.as_secs_f64() / 60.0 / days;
+            let missed = median(&mut outcomes.iter().map(missed).collect::<Vec<_>>());
             let first = *measure.get_or_insert(price);
             table.push(vec![
                 format!("{policy:?}"),
                 format!("{price:.0}"),
                 format!("{:.2}", price / first),
                 format!("{:.3} %", within * 100.0),
+                format!("{missed:.1}"),
             ]);
         }
         Report {
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -87,6 +87,22 @@
         secret: &Path,
         operator_token: &str,
         control: ControlSettings,
+    ) -> Result<Self, SiteError> {
+        let routing = RoutingSettings::default();
+        Self::start_with(domains, secret, operator_token, control, routing).await
+    }
+
+    /// Starts like [`Site::start`] with stated policies of the gates.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port cannot be bound or a process cannot start.
+    pub async fn start_with(
+        domains: &[&str],
+        secret: &Path,
+        operator_token: &str,
+        control: ControlSettings,
+        routing: RoutingSettings,
     ) -> Result<Self, SiteError> {
         let stop = CancellationToken::new();
         let log = spawn(&stop, |l, s| run_log(LogSettings::default(), l, s)).await?;
@@ -98,7 +114,7 @@
             stop,
         };
         for domain in domains {
-            site.add_entry(domain, secret, operator_token, control)
+            site.add_entry(domain, secret, operator_token, control, routing)
                 .await?;
         }
         Ok(site)
@@ -165,6 +181,7 @@
         secret: &Path,
         operator_token: &str,
         control: ControlSettings,
+        routing: RoutingSettings,
     ) -> Result<(), SiteError> {
         let number = self.entries.len() + 1;
         let place = Place {
@@ -201,7 +218,7 @@
             controllers: vec![controller.addrs().rpc],
             secret_file: secret.to_owned(),
             limits: LimitSettings::default(),
-            routing: RoutingSettings::default(),
+            routing,
         })
         .await?;
         self.entries.push(SiteEntry { controller, gate });
--- a/lib/src/sizing.rs
+++ b/lib/src/sizing.rs
@@ -38,7 +38,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SizingPolicy {
-    /// On-demand machines only, for the peak of the profile.
+    /// On-demand machines only, for the highest load of the day.
     OnDemand,
     /// Cheapest mix that carries the load expected by the time that machines have started,
     /// with any one failure domain gone.
@@ -132,7 +132,7 @@
             Self::OnDemand => {
                 let load = input.profile.peak().max(input.load);
                 let offers = allowed(input.offers, |o| o.market == Market::OnDemand);
-                survivable_mix(input.offers, &offers, load)
+                cheapest_mix(input.offers, &offers, load)
             }
             Self::Profile => {
                 let ready = input.time + millis(input.start);
