--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -17,7 +17,7 @@
 #[serde(rename_all = "snake_case", tag = "kind")]
 pub enum Experiment {
     /// Requests to real gates, controllers and stand-ins.
-    Load(LoadExperiment),
+    Load(Box<LoadExperiment>),
     /// Simulated days of a service's machines.
     Cost(CostExperiment),
     /// Moves to simulated versions.
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Time after which a request that was not answered counts as failed.
-const CALL_LIMIT: Duration = Duration::from_secs(60);
+const CALL_LIMIT: Duration = Duration::from_mins(1);
 
 /// Point of the peak within the run.
 const PEAK_AT: f64 = 0.6;
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -161,10 +161,11 @@
 
     /// Stops every process gracefully.
     pub async fn stop(self) {
-        for entry in &self.entries {
+        let stops = self.entries.iter().map(async |entry| {
             entry.gate.stop().await;
             entry.controller.stop().await;
-        }
+        });
+        futures_util::future::join_all(stops).await;
         self.stop.cancel();
     }
 
