--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -58,9 +58,12 @@
 /// have to read its configuration.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Pause before the next controller is tried.
+/// Pause before the next controller is tried, after the first failure.
 const LINK_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest pause before the next controller is tried.
+const MAX_LINK_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -91,6 +94,7 @@
 /// Follows the first controller that can be reached, in the order of the candidates, and
 /// starts over with the gate's own once a link has ended.
 async fn keep_link(gate: &Gate) {
+    let mut pause = LINK_PAUSE;
     loop {
         for controller in candidates(gate) {
             let linked = match follow(gate, controller).await {
@@ -103,10 +107,13 @@
                     linked
                 }
             };
-            tokio::time::sleep(LINK_PAUSE).await;
             if linked {
+                pause = LINK_PAUSE;
+                tokio::time::sleep(pause).await;
                 break;
             }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_LINK_PAUSE);
         }
     }
 }
