--- a/lib/src/deferred_runner.rs
+++ b/lib/src/deferred_runner.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use indexmap::IndexMap;
@@ -37,10 +38,13 @@
 use crate::ServiceKind;
 use crate::Stage;
 use crate::StoredReply;
+use crate::admission;
+use crate::admission::Admitted;
 use crate::call;
 use crate::call::Call;
 use crate::claim_client::homes;
 use crate::deferred;
+use crate::gate_http::PLAIN_COST;
 use crate::model_call;
 use crate::once;
 use crate::problem::problem;
@@ -179,6 +183,7 @@
         Err(error) => return Some(stored(problem(&error)).await),
     };
     let repeatable = call.is_repeatable();
+    let is_model = call.service.kind == ServiceKind::Model;
     gate.kernel
         .events
         .record("deferred.started", &[("request", &request.id)]);
@@ -187,6 +192,8 @@
     let is_last = run.failures >= MAX_FAILURES || run.since.elapsed() >= PATIENCE;
     match result {
         Ok(reply) if reply.status >= 500 && repeatable && !is_last => None,
+        // The generation has been handed over; the gate that owns the request next picks it up.
+        Ok(reply) if is_model && reply.status == StatusCode::TEMPORARY_REDIRECT.as_u16() => None,
         Ok(reply) => Some(reply),
         Err(error) => {
             let is_final =
@@ -207,7 +214,20 @@
 /// # Errors
 ///
 /// Fails with the kind that tells what is known of the call's effect.
-pub(crate) async fn run_call(gate: &Arc<Gate>, mut call: Call) -> Result<StoredReply> {
+pub(crate) async fn run_call(gate: &Arc<Gate>, call: Call) -> Result<StoredReply> {
+    if call.service.kind == ServiceKind::Model {
+        return run_model(gate, call).await;
+    }
+    let permit = match admission::admit(gate, &call, PLAIN_COST).await? {
+        Admitted::Now(permit) => permit,
+        Admitted::Leaving => return Err(Error::new(ErrorKind::Leaving, "this machine ends")),
+    };
+    let reply = run_plain(gate, call).await?;
+    permit.finish();
+    Ok(reply)
+}
+
+async fn run_plain(gate: &Arc<Gate>, call: Call) -> Result<StoredReply> {
     if !call.is_repeatable() {
         let key = call
             .key()?
@@ -219,13 +239,16 @@
         };
         return once::run_claimed(gate, call, Some(key)).await;
     }
-    let response = match call.service.kind {
-        ServiceKind::Model => {
-            call.body = without_stream(&call.body);
-            model_call::run(gate, call).await?
-        }
-        ServiceKind::Plain => run::run(gate, call).await?,
-    };
+    let response = run::run(gate, call).await?;
+    Ok(stored(response).await)
+}
+
+async fn run_model(gate: &Arc<Gate>, mut call: Call) -> Result<StoredReply> {
+    call.body = without_stream(&call.body);
+    let response = model_call::run(gate, call).await?;
+    if response.status().is_redirection() {
+        return Err(Error::new(ErrorKind::Leaving, "this machine ends"));
+    }
     Ok(stored(response).await)
 }
 
@@ -255,6 +278,7 @@
         affinity: None,
         id: request.id,
         customer: request.customer.clone(),
+        affinity: None,
         deadline: Instant::now() + route.timeout,
         service,
         route,
--- a/lib/src/stream_relay.rs
+++ b/lib/src/stream_relay.rs
@@ -344,7 +344,7 @@
     /// Records what a failed attempt says of the version and of the request.
     pub(crate) async fn blame(&self, endpoint: &Endpoint, error: &AttemptError) {
         match error {
-            AttemptError::Unsent(_) => {}
+            AttemptError::Stale | AttemptError::Unsent(_) => {}
             AttemptError::Status(429 | 503) => self.gate.limits.update(&endpoint.name, |limit| {
                 limit.refused(Instant::now());
             }),
