--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -31,6 +31,7 @@
 use crate::lease_keeper::LeaseStore;
 use crate::live_store::LiveStore;
 use crate::operator_access::serve_operators;
+use crate::relayed_events::RelayedEvents;
 use crate::rpc_server::serve_rpc;
 
 /// Time for which a stop waits until peers have heard of it.
@@ -52,6 +53,8 @@
     pub(crate) leases: LeaseStore,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
+    /// Events of gates and peers.
+    pub(crate) relayed: RelayedEvents,
     /// Clients of other processes' RPC ports.
     pub(crate) rpc: RpcClients,
 }
@@ -107,6 +110,7 @@
             leases: LeaseStore::new(),
             live,
             log,
+            relayed: RelayedEvents::default(),
             rpc: RpcClients::new(key.clone()),
         });
         controller.start_plugins()?;
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -106,6 +106,18 @@
         inner.time = inner.time.max(seen);
     }
 
+    /// Returns the newest events from number `from` on, at most `limit`.
+    pub fn newest(&self, from: u64, limit: usize) -> Vec<Event> {
+        let inner = self.inner.lock();
+        let skipped = inner.next.saturating_sub(limit as u64);
+        let from = from.max(skipped);
+        // Looked for from the end, since a report is made often and brings few events.
+        let newest = inner.events.iter().rev().take_while(|e| e.seq >= from);
+        let mut events: Vec<Event> = newest.cloned().collect();
+        events.reverse();
+        events
+    }
+
     /// Returns the events from number `from` on.
     pub fn since(&self, from: u64) -> Vec<Event> {
         let inner = self.inner.lock();
--- a/lib/src/events_rpc.rs
+++ b/lib/src/events_rpc.rs
@@ -8,20 +8,30 @@
 use jsonrpsee::Methods;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::proc_macros::rpc;
+use rand::seq::IndexedRandom;
 
 use crate::Controller;
 use crate::ControllerPlugin;
 use crate::Event;
 use crate::GatePlugin;
 use crate::Kernel;
+use crate::Result;
 use crate::Stage;
 use crate::Timeline;
 use crate::TimelineFilter;
+use crate::gossip_rpc::live_peers;
 
 /// Time within which a process must send its events.
 const EVENTS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time between two relays of events to a peer.
+const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Events in one relay at most.
+const RELAYED_EVENTS: usize = 100;
+
 /// Calls about a process's events.
 #[rpc(client, server, namespace = "events")]
 pub trait EventsRpc {
@@ -30,12 +40,20 @@
     async fn events(&self, filter: TimelineFilter) -> RpcResult<Vec<Event>>;
 }
 
+/// Calls between controllers about events.
+#[rpc(client, server, namespace = "events")]
+pub trait RelayedEventsRpc {
+    /// Hands over events, to be kept.
+    #[method(name = "keep")]
+    async fn keep(&self, events: Vec<Event>) -> RpcResult<()>;
+}
+
 inventory::submit! {
     ControllerPlugin {
         name: "events",
         stage: Stage::Listen,
-        start: |_| Ok(()),
-        methods: Some(|controller| event_methods(&controller.kernel)),
+        start,
+        methods: Some(controller_methods),
     }
 }
 
@@ -48,6 +66,73 @@
     }
 }
 
+#[expect(clippy::unnecessary_wraps, reason = "the registry's signature")]
+fn start(controller: &Arc<Controller>) -> Result<()> {
+    let sender = Arc::clone(controller);
+    controller
+        .kernel
+        .spawn(async move { relay_events(&sender).await });
+    Ok(())
+}
+
+/// Sends this process's new state changes to a random peer, for the time after its end.
+async fn relay_events(controller: &Controller) {
+    let mut sent = 0;
+    loop {
+        tokio::time::sleep(RELAY_INTERVAL).await;
+        let events = controller.kernel.events.newest(sent, RELAYED_EVENTS);
+        let Some(newest) = events.last().map(|event| event.seq + 1) else {
+            continue;
+        };
+        let peers = live_peers(controller);
+        let Some(peer) = peers.choose(&mut rand::rng()).map(|p| p.controller) else {
+            continue;
+        };
+        let keep = async |client: HttpClient| client.keep(events.clone()).await;
+        match controller.rpc.call_twice(peer, EVENTS_TIMEOUT, keep).await {
+            Ok(()) => sent = newest,
+            Err(error) => tracing::debug!(%error, %peer, "events not relayed to a peer"),
+        }
+    }
+}
+
+fn controller_methods(controller: &Arc<Controller>) -> Methods {
+    let mut methods = Methods::from(ControllerEvents(Arc::clone(controller)).into_rpc());
+    let relayed = RelayedService(Arc::clone(controller)).into_rpc();
+    if let Err(error) = methods.merge(relayed) {
+        tracing::error!(%error, "the calls about relayed events are not served");
+    }
+    methods
+}
+
+struct ControllerEvents(Arc<Controller>);
+
+#[async_trait]
+impl EventsRpcServer for ControllerEvents {
+    async fn events(&self, filter: TimelineFilter) -> RpcResult<Vec<Event>> {
+        Ok(known(&self.0, &filter))
+    }
+}
+
+struct RelayedService(Arc<Controller>);
+
+#[async_trait]
+impl RelayedEventsRpcServer for RelayedService {
+    async fn keep(&self, events: Vec<Event>) -> RpcResult<()> {
+        self.0.relayed.keep(events);
+        Ok(())
+    }
+}
+
+/// Returns the events of this process, and those of others that it keeps.
+fn known(controller: &Controller, filter: &TimelineFilter) -> Vec<Event> {
+    let mut events = admitted(&controller.kernel, filter);
+    let mut relayed = controller.relayed.all();
+    relayed.retain(|event| filter.admits(event));
+    events.append(&mut relayed);
+    events
+}
+
 fn event_methods(kernel: &Arc<Kernel>) -> Methods {
     Methods::from(EventsService(Arc::clone(kernel)).into_rpc())
 }
@@ -84,7 +169,7 @@
         .into_iter()
         .map(|(process, server)| read_events(controller, process, server, filter.clone()));
     let mut timeline = Timeline {
-        events: admitted(&controller.kernel, filter),
+        events: known(controller, filter),
         missing: Vec::new(),
     };
     for read in join_all(reads).await {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -73,6 +73,7 @@
 mod reclaim;
 mod record;
 mod relay;
+mod relayed_events;
 mod rendezvous;
 mod reports;
 mod resume_token;
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -64,6 +64,9 @@
 /// Time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Events in one report at most.
+const REPORTED_EVENTS: usize = 200;
+
 /// Time between two attempts at reaching the controller of the gate's own VM.
 const RETURN_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -224,15 +227,19 @@
 
 /// Reports what is new, at intervals or at once where it matters, until a report fails.
 async fn send_reports(gate: &Gate, client: &WsClient) -> LinkError {
+    let mut reported = 0;
     loop {
         gather(gate);
         let mut facts = gate.reports.take(gate.kernel.clock.now());
         if gate.reports.is_news(&gate.info()) {
             facts.push(Fact::Gate(statement(gate)));
         }
-        if !facts.is_empty() {
+        let events = gate.kernel.events.newest(reported, REPORTED_EVENTS);
+        reported = events.last().map_or(reported, |event| event.seq + 1);
+        if !facts.is_empty() || !events.is_empty() {
             let report = GateReport {
                 facts,
+                events,
                 time: gate.kernel.events.time(),
             };
             match tokio::time::timeout(SILENCE_LIMIT, client.report(report)).await {
--- a/lib/src/table_rpc.rs
+++ b/lib/src/table_rpc.rs
@@ -19,6 +19,7 @@
 use crate::ConfigState;
 use crate::Controller;
 use crate::ControllerPlugin;
+use crate::Event;
 use crate::Fact;
 use crate::GateFact;
 use crate::HybridTime;
@@ -51,6 +52,9 @@
 pub struct GateReport {
     /// News, as totals.
     pub facts: Vec<Fact>,
+    /// Newest events of the gate.
+    #[serde(default)]
+    pub events: Vec<Event>,
     /// The gate's hybrid time.
     pub time: HybridTime,
 }
@@ -146,6 +150,7 @@
     async fn report(&self, report: GateReport) -> RpcResult<HybridTime> {
         let events = &self.controller.kernel.events;
         events.observe(report.time);
+        self.controller.relayed.keep(report.events);
         self.take_facts(report.facts);
         Ok(events.time())
     }
