--- a/programs/tests/test_timeline.rs
+++ b/programs/tests/test_timeline.rs
@@ -59,6 +59,7 @@
     let body = json!({"model": "m", "prompt": "a b", "max_tokens": TOKENS, "stream": true});
     let call = Call::post("/tutor/v1/completions", &body).bearer(TOKEN);
     let mut stream = deployment.http.stream(callers, call).await.unwrap();
+    assert_eq!(stream.status, 200);
     let mut text = String::new();
     let mut position = 0;
     let mut request = String::new();
