--- a/lib/src/controller.rs
+++ b/lib/src/controller.rs
@@ -36,6 +36,7 @@
 use crate::metrics::Metrics;
 use crate::operator_access::serve_operators;
 use crate::ops::serve_ops;
+use crate::relayed_events::RelayedEvents;
 use crate::rpc_server::serve_rpc;
 
 /// Time for which a stop waits until peers have heard of it.
@@ -59,6 +60,8 @@
     pub(crate) leases: LeaseStore,
     pub(crate) live: LiveStore,
     pub(crate) log: Arc<dyn PlatformLog>,
+    /// Events of gates and peers.
+    pub(crate) relayed: RelayedEvents,
     /// Clients of other processes' RPC ports.
     pub(crate) rpc: RpcClients,
 }
@@ -120,6 +123,7 @@
             leases: LeaseStore::new(),
             live,
             log,
+            relayed: RelayedEvents::default(),
             rpc: RpcClients::new(key.clone()),
         });
         controller.start_plugins()?;
