--- a/programs/tests/test_once.rs
+++ b/programs/tests/test_once.rs
@@ -2,146 +2,37 @@
 
 mod testutils;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::future::join_all;
 use hawthornrack_lab::LinkMode;
-use hawthornrack_lab::PlainStats;
 use hawthornrack_lib::KeySupport;
-use hawthornrack_lib::Priority;
-use hawthornrack_lib::Route;
-use hawthornrack_lib::ServiceKind;
-use hyper::Method;
-use rand::Rng;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 
-use self::testutils::Answer;
 use self::testutils::Call;
 use self::testutils::LIMIT;
-use self::testutils::deployment::Deployment;
+use self::testutils::bookings::ROUTE_TIMEOUT;
+use self::testutils::bookings::SERVERS;
+use self::testutils::bookings::book;
+use self::testutils::bookings::book_until_done;
+use self::testutils::bookings::booking;
+use self::testutils::bookings::bookings;
+use self::testutils::bookings::bookings_with;
+use self::testutils::bookings::outcome;
+use self::testutils::bookings::running;
+use self::testutils::bookings::runs;
+use self::testutils::bookings::set_log;
 use self::testutils::deployment::OTHER_TOKEN;
 use self::testutils::deployment::TOKEN;
 use self::testutils::deployment::entry_vm;
-use self::testutils::deployment::service;
-use self::testutils::seed;
 use self::testutils::wait_until;
 
 /// Time within which a call must be refused while the log is down.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(3);
 
-/// Time within which a booking must be answered.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(18);
-
-/// Time within which a booking must be answered in the mixed run.
-const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Rounds of the mixed run.
-const ROUNDS: usize = 10;
-
-/// Keys used first in each round of the mixed run.
-const ROUND_KEYS: usize = 8;
-
-/// Endpoints of the service.
-const SERVERS: [&str; 2] = ["desk-a", "desk-b"];
-
-/// Starts entries before two endpoints that take `run_ms` for a booking.
-async fn bookings(entries: usize, keys: KeySupport, run_ms: u32) -> Deployment {
-    bookings_with(entries, keys, run_ms, "", ROUTE_TIMEOUT).await
-}
-
-async fn bookings_with(
-    entries: usize,
-    keys: KeySupport,
-    run_ms: u32,
-    control: &str,
-    timeout: Duration,
-) -> Deployment {
-    let mut deployment = Deployment::start_with(entries, control).await;
-    let kept = serde_json::to_string(&keys).unwrap();
-    let settings = [format!("run_ms={run_ms}"), format!("keys={kept}")];
-    let settings: Vec<&str> = settings.iter().map(String::as_str).collect();
-    for name in SERVERS {
-        deployment.add_plain("desk", "v1", name, &settings).await;
-    }
-    let route = Route {
-        prefix: String::from("book"),
-        repeatable: false,
-        priority: Priority::Interactive,
-        timeout,
-    };
-    let mut desk = service("desk", ServiceKind::Plain, vec![route]);
-    desk.keys = keys;
-    deployment.declare(&[desk]).await;
-    for entry in &deployment.entries {
-        let ready = Call::new(Method::GET, "/desk/ready").bearer(TOKEN);
-        wait_until("the gate routes to the service", LIMIT, async || {
-            let answer = deployment.http.send(entry.callers(), ready.clone()).await;
-            answer.is_ok_and(|a| a.status == 200)
-        })
-        .await;
-    }
-    deployment
-}
-
-fn booking(key: &str) -> Call {
-    let body = json!({"boat": key});
-    Call::post(&format!("/desk/book/{key}"), &body)
-        .bearer(TOKEN)
-        .header("idempotency-key", key)
-}
-
-/// Sends a booking through an entry; a caller without an answer gets `None`.
-async fn book(deployment: &Deployment, entry: usize, key: &str) -> Option<Answer> {
-    let gate = deployment.entries[entry].callers();
-    deployment.http.send(gate, booking(key)).await.ok()
-}
-
-/// Returns the runs of a booking over all endpoints.
-async fn runs(deployment: &Deployment, key: &str) -> u32 {
-    let path = format!("/book/{key}");
-    let mut runs = 0;
-    for name in SERVERS {
-        let stats: PlainStats = deployment.stats(name).await;
-        runs += stats.by_path.get(&path).copied().unwrap_or(0);
-    }
-    runs
-}
-
-async fn running(deployment: &Deployment) -> u32 {
-    let mut running = 0;
-    for name in SERVERS {
-        running += deployment.stats::<PlainStats>(name).await.running;
-    }
-    running
-}
-
-async fn set_log(deployment: &Deployment, patch: Value) {
-    deployment.http.control(deployment.log.http(), &patch).await;
-}
-
-fn outcome(answer: &Answer) -> String {
-    let problem = answer.json();
-    problem["outcome"].as_str().unwrap_or_default().to_owned()
-}
-
-/// Sends a booking again, as its caller would, until it is answered with 200.
-async fn book_until_done(deployment: &Deployment, entry: usize, key: &str) -> Answer {
-    let begun = Instant::now();
-    loop {
-        match book(deployment, entry, key).await {
-            Some(answer) if answer.status == 200 => return answer,
-            other => assert!(begun.elapsed() < LIMIT, "{other:?}"),
-        }
-        tokio::time::sleep(Duration::from_millis(200)).await;
-    }
-}
-
 #[tokio::test]
 async fn test_once_same_key_through_two_gates_runs_once() {
     let deployment = bookings(3, KeySupport::Ignored, 100).await;
@@ -583,147 +474,3 @@
     assert_eq!(again.json(), first.json());
     assert_eq!(runs(&deployment, "k").await, 1);
 }
-
-/// A fault of the mixed run.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    /// The log refuses.
-    LogRefuses,
-    /// The log is silent.
-    LogSilent,
-    /// Answers of the log to appends are lost after they took effect.
-    LogAnswersLost,
-    /// A link of the proxy is in a mode.
-    Link(&'static str, LinkMode),
-    /// A controller is paused.
-    PausedController,
-    /// A gate is paused.
-    PausedGate,
-}
-
-const FAULTS: [Fault; 10] = [
-    Fault::LogRefuses,
-    Fault::LogSilent,
-    Fault::LogAnswersLost,
-    Fault::Link("log", LinkMode::DropAnswers),
-    Fault::Link("endpoint", LinkMode::DropAnswers),
-    Fault::Link("endpoint", LinkMode::Freeze),
-    Fault::Link("gate", LinkMode::DropAnswers),
-    Fault::Link("rpc", LinkMode::Freeze),
-    Fault::PausedController,
-    Fault::PausedGate,
-];
-
-async fn begin_fault(deployment: &Deployment, fault: Fault, index: usize) {
-    match fault {
-        Fault::LogRefuses => set_log(deployment, json!({"outage": "refuse"})).await,
-        Fault::LogSilent => set_log(deployment, json!({"outage": "silent"})).await,
-        Fault::LogAnswersLost => {
-            set_log(deployment, json!({"lose_answers": 5, "only": "claims"})).await;
-        }
-        Fault::Link("endpoint", mode) => {
-            let link = format!("endpoint-{}", SERVERS[index % SERVERS.len()]);
-            deployment.proxy.set_mode(&link, mode).await;
-        }
-        Fault::Link(kind, mode) => {
-            let link = format!("{kind}-{index}");
-            deployment.proxy.set_mode(&link, mode).await;
-        }
-        Fault::PausedController => deployment.entries[index].controller.pause(),
-        Fault::PausedGate => deployment.entries[index].gate.pause(),
-    }
-}
-
-async fn end_faults(deployment: &Deployment) {
-    for entry in &deployment.entries {
-        entry.controller.resume();
-        entry.gate.resume();
-    }
-    deployment.proxy.set_modes("", LinkMode::Pass).await;
-    set_log(deployment, json!({"outage": "off", "lose_answers": 0})).await;
-}
-
-/// What the caller of a booking has seen.
-#[derive(Debug, Default)]
-struct Booking {
-    answers: Vec<Value>,
-    not_run: u32,
-    other: u32,
-}
-
-impl Booking {
-    fn note(&mut self, answer: Option<Answer>) {
-        match answer {
-            Some(answer) if answer.status == 200 => self.answers.push(answer.json()),
-            Some(answer) if outcome(&answer) == "not_run" => self.not_run += 1,
-            _ => self.other += 1,
-        }
-    }
-}
-
-#[tokio::test]
-async fn test_once_refusals_are_true_and_keys_run_once_under_random_faults() {
-    let mut rng = SmallRng::seed_from_u64(seed(7));
-    let deployment = bookings_with(3, KeySupport::Ignored, 20, "", SHORT_TIMEOUT).await;
-    let mut bookings: BTreeMap<String, Booking> = BTreeMap::new();
-    for round in 0..ROUNDS {
-        for _ in 0..2 {
-            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
-            let index = rng.random_range(0..deployment.entries.len());
-            println!("round {round}: {fault:?} {index}");
-            begin_fault(&deployment, fault, index).await;
-        }
-        let mut keys: Vec<String> = (0..ROUND_KEYS).map(|n| format!("k{round}-{n}")).collect();
-        keys.extend((0..round).map(|old| format!("k{old}-{}", round % ROUND_KEYS)));
-        let sends = keys.iter().flat_map(|key| {
-            let first = rng.random_range(0..3);
-            let second = rng.random_range(0..3);
-            [(key, first), (key, second)]
-        });
-        let deployment = &deployment;
-        let sends = sends.map(|(key, entry)| async move {
-            let answer = book(deployment, entry, key).await;
-            (key, answer)
-        });
-        let all: Vec<_> = sends.collect();
-        let answers = tokio::time::timeout(SHORT_TIMEOUT * 2, join_all(all)).await;
-        end_faults(deployment).await;
-        match answers {
-            Ok(answers) => {
-                for (key, answer) in answers {
-                    bookings.entry(key.clone()).or_default().note(answer);
-                }
-            }
-            Err(_) => {
-                for key in &keys {
-                    bookings.entry(key.clone()).or_default().other += 1;
-                }
-            }
-        }
-    }
-    tokio::time::sleep(SHORT_TIMEOUT).await;
-    for (key, booking) in &bookings {
-        let runs = runs(&deployment, key).await;
-        println!(
-            "{key}: {runs} runs, {} answers, {} not run, {} other",
-            booking.answers.len(),
-            booking.not_run,
-            booking.other
-        );
-        assert!(runs <= 1, "{key} ran {runs} times");
-        if booking.answers.is_empty() && booking.other == 0 {
-            assert_eq!(runs, 0, "{key} was refused as not run and ran");
-        }
-        if let Some(first) = booking.answers.first() {
-            assert_eq!(runs, 1, "{key}");
-            assert!(booking.answers.iter().all(|a| a == first), "{key}");
-        }
-    }
-    let refused = bookings
-        .iter()
-        .filter(|(_, b)| b.answers.is_empty() && b.other == 0);
-    for (key, _) in refused {
-        book_until_done(&deployment, 0, key).await;
-        assert_eq!(runs(&deployment, key).await, 1, "{key}");
-    }
-}
