--- a/programs/tests/testutils/mod.rs
+++ b/programs/tests/testutils/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod caller;
+pub mod bookings;
 pub mod deployment;
 pub mod gates;
 pub mod in_force;
