--- a/lib/src/deferred_runner.rs
+++ b/lib/src/deferred_runner.rs
@@ -278,7 +278,6 @@
         affinity: None,
         id: request.id,
         customer: request.customer.clone(),
-        affinity: None,
         deadline: Instant::now() + route.timeout,
         service,
         route,
