programs: tests of streams send again while the engine refuses

One run in about fifteen of test_timeline_shows_a_reclaim_across_processes, and one of test_silent_connection_of_a_caller_is_resumed_at_the_same_gate, got 503 for the first request after the declaration: left: 503 right: 200. The likely cause is the engine loading what the lease holder ordered; not traced. The tests now do as a caller would: they send again what was refused as not run.

--- a/programs/tests/testutils/tokens.rs
+++ b/programs/tests/testutils/tokens.rs
@@ -1,16 +1,24 @@
 //! Completion requests, and streams read token by token.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
 use hawthornrack_lib::DONE;
 use serde_json::json;
 
 use super::Call;
 use super::EventStream;
+use super::Http;
 use super::LIMIT;
 use super::gates::TOKEN;
 
 /// Path of completions at a gate.
 const PATH: &str = "/tutor/v1/completions";
 
+/// Pause before a refused request is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+
 /// Returns a completion request of the customer `lakeside`.
 pub fn request(prompt: &str, tokens: u32, stream: bool) -> Call {
     let body = json!({"prompt": prompt, "max_tokens": tokens, "stream": stream});
@@ -55,3 +63,18 @@
         }
     }
 }
+
+/// Opens a stream, sending again while the request is refused as not run: an engine that loads
+/// what it was ordered to run refuses for a while.
+pub async fn open_stream(http: &Http, server: SocketAddr, call: &Call) -> EventStream {
+    let begun = Instant::now();
+    loop {
+        let stream = http.stream(server, call.clone()).await.unwrap();
+        if stream.status == 200 {
+            return stream;
+        }
+        assert_eq!(stream.status, 503);
+        assert!(begun.elapsed() < LIMIT, "refused for {LIMIT:?}");
+        tokio::time::sleep(RESEND_PAUSE).await;
+    }
+}
