--- a/programs/tests/testutils/deployment.rs
+++ b/programs/tests/testutils/deployment.rs
@@ -546,7 +546,7 @@
 /// Returns a declared service with versions `v1` (all traffic) and `v2` (none).
 pub fn service(name: &str, kind: ServiceKind, routes: Vec<Route>) -> Service {
     let version = |share| Version {
-        model: String::from("m"),
+        model: String::from("model"),
         share,
     };
     Service {
