rollout: the control share ends at 80 % of the time

Cause: with 90 % a move of 16 s had its last step settled only after 98 % and was late with the log down (test_moves_good_version_is_done_by_its_deadline::case_1, failed twice).

--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -25,10 +25,10 @@
 pub const STEP_SHARES: [u32; 8] = [10, 20, 50, 100, 250, 500, CONTROL_SHARE, FULL_SHARE];
 
 /// Earliest start of each step, in thousandths of the time between start and deadline.
-const EARLIEST: [u64; 8] = [0, 50, 120, 200, 300, 420, 550, 900];
+const EARLIEST: [u64; 8] = [0, 50, 120, 200, 300, 420, 550, 800];
 
 /// Start of each step when there is little traffic, in thousandths of the same time.
-const LATEST: [u64; 8] = [0, 300, 450, 550, 650, 750, 850, 920];
+const LATEST: [u64; 8] = [0, 300, 450, 550, 650, 720, 780, 850];
 
 /// Earliest time at which a move is done, in thousandths of the same time.
 const DONE_AT: u64 = 950;
