--- /dev/null
+++ b/entry/src/attempt.rs
@@ -0,0 +1,411 @@
+//! One request's way: choose an endpoint, send, judge the outcome, try again or give up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::Answer;
+use crate::Branch;
+use crate::Call;
+use crate::CallKind;
+use crate::Choice;
+use crate::Config;
+use crate::CustomerName;
+use crate::Dispatch;
+use crate::EndpointEdge;
+use crate::EndpointId;
+use crate::EndpointKey;
+use crate::Fingerprint;
+use crate::Node;
+use crate::Occupancy;
+use crate::Placement;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::Route;
+use crate::SendFailure;
+use crate::ServiceName;
+use crate::choose;
+use crate::prefill_time;
+
+/// Part of the objective for which a request may wait for a place.
+const WAIT_SHARE: u32 = 8;
+
+/// Multiple of the objective after which a request that may be repeated is tried elsewhere.
+const TRY_FACTOR: u32 = 2;
+
+/// Shortest time within which a stream's first event must come before it is tried elsewhere.
+const FIRST_EVENT_LEAST: Duration = Duration::from_millis(1500);
+
+/// Time that must be left for a send to make sense.
+const LEAST_BUDGET: Duration = Duration::from_millis(20);
+
+/// Time after which callers may come back when no endpoint is known or ready.
+const RETRY_AFTER_ENDPOINT: Duration = Duration::from_millis(800);
+
+/// Shortest time after which callers may come back when endpoints are full.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
+
+/// A request that has been admitted, with what was decided about it.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    pub(crate) call: Arc<Call>,
+    pub(crate) config: Arc<Config>,
+    pub(crate) route: Route,
+    pub(crate) customer: Option<CustomerName>,
+    pub(crate) priority: u8,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) deadline: Instant,
+}
+
+/// Sends of one request so far.
+#[derive(Debug)]
+pub(crate) struct Attempts {
+    pub(crate) request: Admitted,
+    service: ServiceName,
+    tried: Vec<EndpointKey>,
+    sends: u32,
+    pub(crate) may_have_run: bool,
+    pub(crate) last_event: Option<u64>,
+}
+
+/// Place that a request takes at an endpoint until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Place {
+    node: Arc<Node>,
+    pub(crate) key: EndpointKey,
+    pub(crate) endpoint: EndpointId,
+    address: std::net::SocketAddr,
+    occupancy: Occupancy,
+    pub(crate) begun: Instant,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
+            endpoint.load.end(self.occupancy);
+        }
+        self.node.freed.notify_waiters();
+    }
+}
+
+impl Place {
+    /// Notes a good answer.
+    pub(crate) fn note_success(&self, now: Instant) {
+        let took = now.duration_since(self.begun);
+        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
+            endpoint.load.note_success(took);
+        }
+    }
+
+    /// Notes an answer that is the endpoint's failure.
+    pub(crate) fn note_failure(&self) {
+        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
+            endpoint.load.note_failure();
+        }
+    }
+
+    /// Notes that the endpoint could not be reached, broke off or stayed silent.
+    pub(crate) fn note_trouble(&self, now: Instant) {
+        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
+            endpoint.load.note_trouble(now);
+        }
+    }
+
+    /// Notes that the endpoint takes no more requests.
+    pub(crate) fn note_leaving(&self) {
+        self.node.endpoints.lock().note_leaving(&self.endpoint);
+    }
+}
+
+impl Attempts {
+    /// Begins a request on one of its route's services.
+    pub(crate) fn new(request: Admitted) -> Self {
+        let last_event = request.call.last_event;
+        Self {
+            service: pick_branch(&request.route.branches),
+            request,
+            tried: Vec::new(),
+            sends: 0,
+            may_have_run: false,
+            last_event,
+        }
+    }
+
+    /// Returns the kind of the request.
+    pub(crate) fn kind(&self) -> CallKind {
+        self.request.route.kind
+    }
+
+    /// Returns the service that the request goes to.
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// Sends the request until an endpoint answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal when no endpoint answers.
+    pub(crate) async fn run<E: EndpointEdge>(
+        &mut self,
+        node: &Arc<Node>,
+        edge: &E,
+    ) -> Result<(Answer<E::Body>, Place), Refusal> {
+        loop {
+            let place = self.take_place(node).await?;
+            match self.send(node, edge, &place).await {
+                Ok(answer) if self.is_worth_repeating(&answer) && self.may_retry(node) => {
+                    place.note_failure();
+                    self.may_have_run = true;
+                }
+                Ok(answer) => return Ok((answer, place)),
+                Err(failure) => {
+                    note_send_failure(node, self, &place, &failure);
+                    drop(place);
+                    self.after_failure(node, &failure)?;
+                }
+            }
+        }
+    }
+
+    /// Takes a place at the best endpoint, waiting briefly while all are full.
+    async fn take_place(&mut self, node: &Arc<Node>) -> Result<Place, Refusal> {
+        let patience = Instant::now() + self.request.route.objective / WAIT_SHARE;
+        loop {
+            let now = Instant::now();
+            if self.request.deadline.saturating_duration_since(now) < LEAST_BUDGET {
+                return Err(self.final_refusal(RefusalKind::Expired, None));
+            }
+            let freed = node.freed.notified();
+            match self.choose(node, now) {
+                Ok(place) => return Ok(place),
+                Err(Choice::Full(wait)) if now >= patience || self.sends > 0 => {
+                    let after = wait.max(RETRY_AFTER_FULL);
+                    return Err(self.final_refusal(RefusalKind::Overloaded, Some(after)));
+                }
+                Err(Choice::Full(_)) => {
+                    // A place that frees up wakes this loop; the refusal follows if none does.
+                    let _ = tokio::time::timeout_at(patience, freed).await;
+                }
+                Err(_) => {
+                    let after = Some(RETRY_AFTER_ENDPOINT);
+                    return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self, node: &Arc<Node>, now: Instant) -> Result<Place, Choice> {
+        let request = &self.request;
+        let service = request.config.services.get(&self.service);
+        let placement = Placement {
+            service: &self.service,
+            engine: service.and_then(|s| s.engine),
+            version: None,
+            prompt: request.call.prompt.as_ref(),
+            domain: &node.settings.domain,
+            tried: &self.tried,
+            limit: request.route.objective.min(request.deadline - now),
+        };
+        let mut endpoints = node.endpoints.lock();
+        let (key, prefill) = match choose(&endpoints, &placement, now) {
+            Choice::Send { key, prefill } => (key, prefill),
+            other => return Err(other),
+        };
+        let endpoint = endpoints.get_mut(key).ok_or(Choice::NoEndpoint)?;
+        let tokens = request
+            .call
+            .prompt
+            .as_ref()
+            .map_or(0, crate::Prompt::tokens);
+        let occupancy = Occupancy { tokens, prefill };
+        endpoint.load.begin(occupancy, now);
+        if let Some(prompt) = &request.call.prompt {
+            endpoint.load.note_prompt(prompt, now);
+        }
+        Ok(Place {
+            node: Arc::clone(node),
+            key,
+            endpoint: endpoint.entry.id.clone(),
+            address: endpoint.entry.address,
+            occupancy,
+            begun: now,
+        })
+    }
+
+    async fn send<E: EndpointEdge>(
+        &mut self,
+        node: &Arc<Node>,
+        edge: &E,
+        place: &Place,
+    ) -> Result<Answer<E::Body>, SendFailure> {
+        let now = Instant::now();
+        self.tried.push(place.key);
+        self.sends += 1;
+        let request = &self.request;
+        let left = request.deadline.saturating_duration_since(now);
+        let limit = self.try_limit(place).min(left);
+        let send = Dispatch {
+            call: &request.call,
+            address: place.address,
+            endpoint: &place.endpoint,
+            customer: request.customer.as_ref(),
+            budget: left,
+            priority: request.call.prompt.as_ref().map(|_| request.priority),
+            last_event: self.last_event,
+            fresh: !request.route.kind.may_repeat(),
+            stream: request.route.kind.is_stream(),
+        };
+        let answer = tokio::time::timeout(limit, edge.send(send)).await;
+        let answer = answer.unwrap_or_else(|_elapsed| {
+            Err(SendFailure::MayHaveRun(format!(
+                "no answer in {} ms",
+                limit.as_millis()
+            )))
+        });
+        node.metrics.note_send(outcome_name(&answer));
+        answer
+    }
+
+    /// Returns the time after which this send counts as failed.
+    fn try_limit(&self, place: &Place) -> Duration {
+        let route = &self.request.route;
+        let last = self.sends >= route.attempts || !route.kind.may_repeat();
+        if last {
+            return Duration::MAX;
+        }
+        match route.kind {
+            CallKind::ResumableStream => {
+                let reading = prefill_time(place.occupancy.prefill) * 3;
+                (route.objective * TRY_FACTOR).max(FIRST_EVENT_LEAST) + reading
+            }
+            _ => route.objective * TRY_FACTOR,
+        }
+    }
+
+    /// Tells whether an answer is a failure that another endpoint may not repeat.
+    fn is_worth_repeating<B>(&self, answer: &Answer<B>) -> bool {
+        answer.status >= 500 && self.kind().may_repeat()
+    }
+
+    /// Takes a repeat from the budget if the request may be sent once more.
+    pub(crate) fn may_retry(&self, node: &Node) -> bool {
+        let now = Instant::now();
+        let left = self.request.deadline.saturating_duration_since(now);
+        let allowed = self.sends < self.request.route.attempts && left > LEAST_BUDGET * 2;
+        if !allowed || node.crashes.lock().is_crashing(self.request.fingerprint) {
+            return false;
+        }
+        let entries = node.entry_count();
+        node.retries.lock().take(&self.service, entries, now)
+    }
+
+    /// Tells whether the request may be sent to one more endpoint, budgets aside.
+    pub(crate) fn can_repeat(&self) -> bool {
+        self.kind().may_repeat() && self.sends < self.request.route.attempts
+    }
+
+    /// Notes that an endpoint broke off after it may have run the request.
+    pub(crate) fn note_broken(&self, node: &Node, place: &Place, failure: &SendFailure) {
+        note_send_failure(node, self, place, failure);
+    }
+
+    /// Decides whether the request goes on after a send that brought no answer.
+    pub(crate) fn after_failure(
+        &mut self,
+        node: &Node,
+        failure: &SendFailure,
+    ) -> Result<(), Refusal> {
+        match failure {
+            SendFailure::NotWritten(_) | SendFailure::Rejected { .. } => {
+                let misdirected = matches!(
+                    failure,
+                    SendFailure::Rejected {
+                        misdirected: true,
+                        ..
+                    } | SendFailure::NotWritten(_)
+                );
+                if misdirected {
+                    // No server of the service has seen the request.
+                    self.sends -= 1;
+                }
+                if !self.may_retry(node) {
+                    let after = Some(RETRY_AFTER_FULL);
+                    return Err(self.final_refusal(RefusalKind::Rejected, after));
+                }
+            }
+            SendFailure::MayHaveRun(_) => {
+                self.may_have_run = true;
+                if !self.kind().may_repeat() || !self.may_retry(node) {
+                    return Err(self.final_refusal(RefusalKind::Broken, None));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the refusal that is true of what has happened to the request.
+    fn final_refusal(&self, kind: RefusalKind, after: Option<Duration>) -> Refusal {
+        if !self.may_have_run {
+            return Refusal {
+                kind,
+                retry_after: after,
+            };
+        }
+        let late = Instant::now() + LEAST_BUDGET >= self.request.deadline;
+        Refusal::new(if late {
+            RefusalKind::TimedOut
+        } else {
+            RefusalKind::Broken
+        })
+    }
+}
+
+fn note_send_failure(node: &Node, attempts: &Attempts, place: &Place, failure: &SendFailure) {
+    let now = Instant::now();
+    let request = &attempts.request;
+    tracing::info!(
+        event = "send_failed",
+        id = request.call.id,
+        endpoint = %place.endpoint,
+        sends = attempts.sends,
+        after_ms = crate::millis(now.duration_since(place.begun)),
+        %failure,
+    );
+    match failure {
+        SendFailure::Rejected {
+            misdirected: true, ..
+        } => place.note_leaving(),
+        SendFailure::Rejected { .. } => place.note_failure(),
+        SendFailure::NotWritten(_) => place.note_trouble(now),
+        SendFailure::MayHaveRun(_) => {
+            place.note_trouble(now);
+            let mut crashes = node.crashes.lock();
+            crashes.note(request.fingerprint, &place.endpoint, now);
+        }
+    }
+}
+
+fn outcome_name<B>(answer: &Result<Answer<B>, SendFailure>) -> &'static str {
+    match answer {
+        Ok(answer) if answer.status < 500 => "answered",
+        Ok(_) => "failed",
+        Err(SendFailure::NotWritten(_)) => "not_written",
+        Err(SendFailure::Rejected { .. }) => "rejected",
+        Err(SendFailure::MayHaveRun(_)) => "may_have_run",
+    }
+}
+
+fn pick_branch(branches: &[Branch]) -> ServiceName {
+    let sum: u32 = branches.iter().map(|b| b.weight).sum();
+    let mut drawn = rand::rng().random_range(0..sum.max(1));
+    for branch in branches {
+        if drawn < branch.weight {
+            return branch.service.clone();
+        }
+        drawn -= branch.weight;
+    }
+    branches[0].service.clone()
+}
--- /dev/null
+++ b/entry/src/endpoints.rs
@@ -0,0 +1,271 @@
+//! Table of the endpoints that the platform lists, kept by key in an arena.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::DomainName;
+use crate::EndpointId;
+use crate::EndpointKey;
+use crate::EndpointLoad;
+use crate::ServiceName;
+use crate::VersionName;
+
+/// Time after an outage of the list for which a missing entry may still come back.
+const RETURN_TIME: Duration = Duration::from_millis(2500);
+
+/// Removed endpoints that are remembered.
+const MAX_REMOVED: usize = 1024;
+
+/// What an endpoint says of its readiness.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EndpointState {
+    /// Takes new requests.
+    Ready,
+    /// Leaves and takes no new requests.
+    Draining,
+}
+
+/// One entry of the platform's list of endpoints.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EndpointEntry {
+    /// Id of this start of the endpoint.
+    pub id: EndpointId,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain that it is in.
+    pub domain: DomainName,
+    /// Version of its software.
+    pub version: VersionName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: EndpointState,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// Whether it may be reclaimed.
+    pub spot: bool,
+    /// Start of this incarnation, in milliseconds since 1970.
+    pub born: u64,
+    /// Number of this entry within the incarnation.
+    pub sequence: u64,
+}
+
+/// An endpoint of the table.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Newest entry.
+    pub entry: EndpointEntry,
+    /// What the entry VM knows of its load.
+    pub load: EndpointLoad,
+    /// Whether the endpoint or a peer said that it leaves.
+    pub leaving: bool,
+    /// Time from which the endpoint counts as gone.
+    missing_at: Option<Instant>,
+}
+
+impl Endpoint {
+    /// Tells whether new requests may be sent there.
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        !self.leaving && self.missing_at.is_none_or(|at| now < at)
+    }
+}
+
+/// What an entry changed in the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TableChange {
+    /// Nothing that requests depend on.
+    None,
+    /// An endpoint is new or was born again.
+    Joined,
+    /// An endpoint leaves.
+    Leaving,
+}
+
+/// All endpoints that are listed, over all services.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    arena: IndexMap<EndpointKey, Endpoint>,
+    by_id: IndexMap<EndpointId, EndpointKey>,
+    removed: IndexMap<EndpointId, (u64, u64)>,
+    next: u32,
+    loaded: bool,
+    outage_end: Option<Instant>,
+}
+
+impl EndpointTable {
+    /// Tells whether the whole list was read once.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Notes that the list could not be read until now.
+    pub fn note_outage(&mut self, now: Instant) {
+        self.outage_end = Some(now);
+    }
+
+    /// Takes over a newer entry.
+    pub fn apply(&mut self, entry: EndpointEntry) -> TableChange {
+        let age = (entry.born, entry.sequence);
+        if self.removed.get(&entry.id).is_some_and(|old| *old >= age) {
+            return TableChange::None;
+        }
+        let known = self.by_id.get(&entry.id).copied();
+        let Some(endpoint) = known.and_then(|key| self.arena.get_mut(&key)) else {
+            self.insert(entry);
+            return TableChange::Joined;
+        };
+        let old = (endpoint.entry.born, endpoint.entry.sequence);
+        if age < old {
+            return TableChange::None;
+        }
+        if entry.born > endpoint.entry.born {
+            self.insert(entry);
+            return TableChange::Joined;
+        }
+        let leaves = entry.state == EndpointState::Draining && !endpoint.leaving;
+        endpoint.leaving |= leaves;
+        endpoint.missing_at = None;
+        endpoint.entry = entry;
+        if leaves {
+            TableChange::Leaving
+        } else {
+            TableChange::None
+        }
+    }
+
+    /// Notes that an endpoint is no longer listed.
+    ///
+    /// Shortly after an outage of the list the endpoint is kept for a while: entries that
+    /// lapsed meanwhile are written again.
+    pub fn remove(&mut self, id: &EndpointId, now: Instant) -> TableChange {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return TableChange::None;
+        };
+        let Some(endpoint) = self.arena.get_mut(&key) else {
+            return TableChange::None;
+        };
+        let lapsed = self
+            .outage_end
+            .is_some_and(|end| now.duration_since(end) < RETURN_TIME);
+        if endpoint.missing_at.is_some() {
+            return TableChange::None;
+        }
+        let grace = if lapsed { RETURN_TIME } else { Duration::ZERO };
+        endpoint.missing_at = Some(now + grace);
+        if lapsed {
+            TableChange::None
+        } else {
+            TableChange::Leaving
+        }
+    }
+
+    /// Replaces the whole list.
+    pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Instant) {
+        self.loaded = true;
+        let listed: Vec<EndpointId> = entries.iter().map(|e| e.id.clone()).collect();
+        let known: Vec<EndpointId> = self.by_id.keys().cloned().collect();
+        for id in known {
+            if !listed.contains(&id) {
+                self.remove(&id, now);
+            }
+        }
+        for entry in entries {
+            self.apply(entry);
+        }
+    }
+
+    /// Notes that an endpoint leaves, as it said itself or a peer learnt.
+    pub fn note_leaving(&mut self, id: &EndpointId) -> bool {
+        let key = self.by_id.get(id).copied();
+        let Some(endpoint) = key.and_then(|key| self.arena.get_mut(&key)) else {
+            return false;
+        };
+        !std::mem::replace(&mut endpoint.leaving, true)
+    }
+
+    /// Forgets endpoints that are gone and run nothing.
+    pub fn sweep(&mut self, now: Instant) {
+        let gone: Vec<EndpointKey> = self
+            .arena
+            .iter()
+            .filter(|(_, e)| e.missing_at.is_some_and(|at| now >= at))
+            .filter(|(_, e)| e.load.is_idle())
+            .map(|(key, _)| *key)
+            .collect();
+        for key in gone {
+            self.forget(key);
+        }
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.arena.get(&key)
+    }
+
+    /// Returns an endpoint for change.
+    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
+        self.arena.get_mut(&key)
+    }
+
+    /// Returns an endpoint by its id, for change.
+    pub fn by_id_mut(&mut self, id: &EndpointId) -> Option<&mut Endpoint> {
+        let key = self.by_id.get(id)?;
+        self.arena.get_mut(key)
+    }
+
+    /// Iterates over all endpoints that are known.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.arena.iter().map(|(key, endpoint)| (*key, endpoint))
+    }
+
+    /// Iterates over all endpoints that are known, for change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Endpoint> {
+        self.arena.values_mut()
+    }
+
+    /// Iterates over the endpoints of a service that take new requests.
+    pub fn candidates<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Instant,
+    ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
+        self.iter()
+            .filter(move |(_, e)| e.entry.service == *service && e.takes_requests(now))
+    }
+
+    fn insert(&mut self, entry: EndpointEntry) {
+        self.removed.shift_remove(&entry.id);
+        let key = EndpointKey(self.next);
+        self.next += 1;
+        if let Some(old) = self.by_id.insert(entry.id.clone(), key) {
+            // Requests in progress on the earlier incarnation end by themselves.
+            self.arena.shift_remove(&old);
+        }
+        let endpoint = Endpoint {
+            leaving: entry.state == EndpointState::Draining,
+            entry,
+            load: EndpointLoad::default(),
+            missing_at: None,
+        };
+        self.arena.insert(key, endpoint);
+    }
+
+    fn forget(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.arena.shift_remove(&key) else {
+            return;
+        };
+        let entry = endpoint.entry;
+        self.by_id.shift_remove(&entry.id);
+        self.removed.insert(entry.id, (entry.born, entry.sequence));
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/gossip.rs
@@ -0,0 +1,283 @@
+//! Gossip between entries over JSON-RPC: each round one peer is told the own state and asked
+//! for what is newer than what is known.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::ServerBuilder;
+use parking_lot::Mutex;
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::BootTime;
+use crate::Config;
+use crate::EndpointEntry;
+use crate::EntryName;
+use crate::EntryState;
+use crate::Node;
+use crate::PeerLoad;
+use crate::StateAge;
+use crate::wall_millis;
+
+/// Time between rounds.
+const ROUND: Duration = Duration::from_millis(300);
+
+/// Time within which a peer must answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Part of the rounds that go to any known peer, so that those that returned are found.
+const ANY_PEER_SHARE: f64 = 0.15;
+
+/// What one entry asks of another.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Exchange {
+    /// State of the asking entry.
+    pub own: EntryState,
+    /// Ages of the states that it knows.
+    pub digest: IndexMap<EntryName, StateAge>,
+    /// Whether it knows the list of endpoints.
+    pub has_endpoints: bool,
+}
+
+/// Answer to an exchange.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct News {
+    /// States that are newer than the digest.
+    pub states: Vec<EntryState>,
+    /// Configuration, if it is newer than the asking entry's.
+    pub config: Option<Config>,
+    /// List of endpoints, if the asking entry knows none.
+    pub endpoints: Option<Vec<EndpointEntry>>,
+    /// Time of day of the answering entry, in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// Calls between entries.
+#[rpc(client, server, namespace = "entry")]
+pub trait EntryRpc {
+    /// Exchanges news.
+    #[method(name = "exchange")]
+    async fn exchange(&self, exchange: Exchange) -> RpcResult<News>;
+}
+
+struct Responder {
+    node: Arc<Node>,
+}
+
+#[async_trait]
+impl EntryRpcServer for Responder {
+    async fn exchange(&self, exchange: Exchange) -> RpcResult<News> {
+        Ok(answer(&self.node, exchange))
+    }
+}
+
+/// Answers a peer's exchange.
+pub fn answer(node: &Node, exchange: Exchange) -> News {
+    let now = Instant::now();
+    let Exchange {
+        own,
+        digest,
+        has_endpoints,
+    } = exchange;
+    let config = node.config().filter(|c| c.version > own.config);
+    let mut states = node.members.lock().newer_than(&digest);
+    states.retain(|s| s.name != own.name);
+    states.push(node.own_state());
+    merge(node, own, now);
+    refresh(node);
+    News {
+        states,
+        config: config.map(|c| Config::clone(&c)),
+        endpoints: (!has_endpoints).then(|| known_endpoints(node)).flatten(),
+        wall_ms: wall_millis(),
+    }
+}
+
+/// Takes over a peer's news.
+pub fn take(node: &Node, news: News) {
+    let now = Instant::now();
+    if let Some(config) = news.config {
+        node.apply_config(config, "peer");
+    }
+    if let Some(entries) = news.endpoints {
+        let mut endpoints = node.endpoints.lock();
+        if !endpoints.is_loaded() {
+            tracing::info!(
+                event = "endpoints",
+                count = entries.len(),
+                source = "peer",
+                "list of endpoints known"
+            );
+            endpoints.replace(entries, now);
+        }
+    }
+    for state in news.states {
+        merge(node, state, now);
+    }
+    refresh(node);
+}
+
+fn known_endpoints(node: &Node) -> Option<Vec<EndpointEntry>> {
+    let endpoints = node.endpoints.lock();
+    let now = Instant::now();
+    let known = endpoints.iter().filter(|(_, e)| e.takes_requests(now));
+    endpoints
+        .is_loaded()
+        .then(|| known.map(|(_, e)| e.entry.clone()).collect())
+}
+
+fn merge(node: &Node, state: EntryState, now: Instant) {
+    if state.name == node.settings.name {
+        return;
+    }
+    let name = state.name.clone();
+    if !node.members.lock().merge(state.clone(), now) {
+        return;
+    }
+    node.quotas.lock().note_peer(&name, &state.admitted, now);
+    if let Some(view) = &state.lease {
+        node.lease.lock().note_peer(view, BootTime::now());
+    }
+    let mut crashes = node.crashes.lock();
+    for (request, endpoint) in &state.crashes {
+        if crashes.note(*request, endpoint, now) {
+            tracing::info!(event = "crash_learnt", request = request.0, %endpoint, peer = %name);
+        }
+    }
+    drop(crashes);
+    let mut endpoints = node.endpoints.lock();
+    for id in &state.leaving {
+        if endpoints.note_leaving(id) {
+            tracing::info!(event = "leaving_learnt", endpoint = %id, peer = %name);
+        }
+    }
+}
+
+/// Recomputes what depends on all peers.
+fn refresh(node: &Node) {
+    let now = Instant::now();
+    let mut members = node.members.lock();
+    let forgotten = members.forget_silent(now);
+    let count = members.iter().count() + 1;
+    let mut loads: IndexMap<crate::EndpointId, PeerLoad> = IndexMap::new();
+    for peer in members.live(now) {
+        for share in &peer.state.shares {
+            let load = loads.entry(share.id.clone()).or_default();
+            load.running += share.running;
+            load.tokens += share.tokens;
+        }
+    }
+    drop(members);
+    let mut quotas = node.quotas.lock();
+    quotas.set_entries(count);
+    for name in &forgotten {
+        tracing::info!(event = "entry_forgotten", entry = %name);
+        quotas.forget(name);
+        node.time.lock().forget(name);
+    }
+    drop(quotas);
+    for endpoint in node.endpoints.lock().iter_mut() {
+        let load = loads.get(&endpoint.entry.id).copied();
+        endpoint.load.peers = load.unwrap_or_default();
+    }
+}
+
+/// Serves peers' calls until the process ends.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn listen(node: Arc<Node>, address: SocketAddr) -> std::io::Result<()> {
+    let server = ServerBuilder::default().build(address).await?;
+    let handle = server.start(Responder { node }.into_rpc());
+    tokio::spawn(handle.stopped());
+    Ok(())
+}
+
+/// Clients of peers, kept by address.
+#[derive(Debug, Default)]
+pub struct Gossip {
+    clients: Mutex<IndexMap<SocketAddr, HttpClient>>,
+}
+
+impl Gossip {
+    /// Exchanges news with one peer a round until the process ends.
+    pub async fn run(&self, node: &Arc<Node>) {
+        loop {
+            node.note_own_clock();
+            if let Some((name, address)) = self.pick(node) {
+                self.exchange(node, name.as_ref(), address).await;
+            }
+            let jitter = rand::rng().random_range(0.8..1.2);
+            tokio::time::sleep(ROUND.mul_f64(jitter)).await;
+        }
+    }
+
+    /// Exchanges news with one peer.
+    pub async fn exchange(&self, node: &Arc<Node>, name: Option<&EntryName>, address: SocketAddr) {
+        let sent = BootTime::now();
+        let exchange = Exchange {
+            own: node.own_state(),
+            digest: node.members.lock().digest(),
+            has_endpoints: node.endpoints.lock().is_loaded(),
+        };
+        match self.call(address, exchange).await {
+            Ok(news) => {
+                let middle = (sent.millis() + BootTime::now().millis()) / 2;
+                if let Some(name) = name {
+                    node.time.lock().note_peer(name, news.wall_ms, middle);
+                }
+                take(node, news);
+            }
+            Err(error) => {
+                self.clients.lock().swap_remove(&address);
+                tracing::debug!(event = "peer_unreachable", %address, %error);
+            }
+        }
+    }
+
+    async fn call(&self, address: SocketAddr, exchange: Exchange) -> Result<News, ClientError> {
+        let client = self.client(address)?;
+        client.exchange(exchange).await
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<HttpClient, ClientError> {
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{address}"))?;
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+
+    fn pick(&self, node: &Node) -> Option<(Option<EntryName>, SocketAddr)> {
+        let mut rng = rand::rng();
+        let now = Instant::now();
+        let members = node.members.lock();
+        let address = |p: &crate::Peer| (Some(p.state.name.clone()), p.state.peer_address);
+        let any = rng.random_bool(ANY_PEER_SHARE);
+        let live = members.live(now).map(address).choose(&mut rng);
+        let known = members.iter().map(address).choose(&mut rng);
+        let own = node.settings.peer_address;
+        let seeds = node.settings.seeds.iter().filter(|s| **s != own);
+        let seed = seeds.copied().choose(&mut rng).map(|s| (None, s));
+        match (live, any) {
+            (Some(live), false) => Some(live),
+            _ => known.filter(|_| rng.random_bool(0.7)).or(seed),
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/members.rs
@@ -0,0 +1,163 @@
+//! The entries that are known, and what each says of itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::CustomerName;
+use crate::DomainName;
+use crate::EndpointId;
+use crate::EntryName;
+use crate::Fingerprint;
+use crate::LeaseView;
+use crate::Usage;
+use crate::UsageCounts;
+use crate::WindowIndex;
+
+/// Silence after which callers are no longer sent to an entry.
+const SUSPECT_AFTER: Duration = Duration::from_millis(2500);
+
+/// Silence after which an entry is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Age of what an entry says: its incarnation, then a number that grows within it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StateAge {
+    /// Start of the entry's process, in milliseconds.
+    pub incarnation: u64,
+    /// Number within the incarnation.
+    pub sequence: u64,
+}
+
+/// Load that an entry puts on one endpoint.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EndpointShare {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// Requests in progress.
+    pub running: u32,
+    /// Tokens of memory.
+    pub tokens: u64,
+}
+
+/// What an entry says of itself to its peers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EntryState {
+    /// Name of the entry.
+    pub name: EntryName,
+    /// Age of this state.
+    pub age: StateAge,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub front_address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Version of the configuration in force.
+    pub config: u64,
+    /// Lease that it knows of.
+    pub lease: Option<LeaseView>,
+    /// Load that it puts on endpoints.
+    pub shares: Vec<EndpointShare>,
+    /// Units that it admitted of each customer since its start.
+    pub admitted: IndexMap<CustomerName, f64>,
+    /// Requests that began to run.
+    pub usage: Usage,
+    /// Requests that crashed endpoints.
+    pub crashes: Vec<(Fingerprint, EndpointId)>,
+    /// Endpoints that leave.
+    pub leaving: Vec<EndpointId>,
+}
+
+/// A peer as this entry sees it.
+#[derive(Debug)]
+pub struct Peer {
+    /// Newest state.
+    pub state: EntryState,
+    /// Time at which its state last advanced.
+    pub heard: Instant,
+}
+
+/// The other entries.
+#[derive(Debug, Default)]
+pub struct Members {
+    peers: IndexMap<EntryName, Peer>,
+    /// Usage of incarnations that have ended.
+    retired: Usage,
+}
+
+impl Members {
+    /// Takes over a peer's state if it is newer and tells whether it was.
+    pub fn merge(&mut self, state: EntryState, now: Instant) -> bool {
+        match self.peers.get_mut(&state.name) {
+            Some(peer) if peer.state.age >= state.age => false,
+            Some(peer) => {
+                if peer.state.age.incarnation != state.age.incarnation {
+                    self.retired.merge(&peer.state.usage);
+                }
+                *peer = Peer { state, heard: now };
+                true
+            }
+            None => {
+                self.peers
+                    .insert(state.name.clone(), Peer { state, heard: now });
+                true
+            }
+        }
+    }
+
+    /// Returns the age of each state that is known.
+    pub fn digest(&self) -> IndexMap<EntryName, StateAge> {
+        let peers = self.peers.iter();
+        peers.map(|(name, p)| (name.clone(), p.state.age)).collect()
+    }
+
+    /// Returns the states that are newer than a digest.
+    pub fn newer_than(&self, digest: &IndexMap<EntryName, StateAge>) -> Vec<EntryState> {
+        let newer = |p: &&Peer| {
+            digest
+                .get(&p.state.name)
+                .is_none_or(|age| *age < p.state.age)
+        };
+        let peers = self.peers.values().filter(newer);
+        peers.map(|p| p.state.clone()).collect()
+    }
+
+    /// Removes and returns the entries that have been silent for long.
+    pub fn forget_silent(&mut self, now: Instant) -> Vec<EntryName> {
+        let silent = |p: &Peer| now.duration_since(p.heard) >= FORGET_AFTER;
+        let names = self.peers.iter().filter(|(_, p)| silent(p));
+        let names: Vec<EntryName> = names.map(|(name, _)| name.clone()).collect();
+        for name in &names {
+            if let Some(peer) = self.peers.shift_remove(name) {
+                self.retired.merge(&peer.state.usage);
+            }
+        }
+        names
+    }
+
+    /// Adds the counts that all peers stated for a window to a sum.
+    pub fn add_usage(&self, window: WindowIndex, sum: &mut UsageCounts) {
+        self.retired.add_to(window, sum);
+        for peer in self.peers.values() {
+            peer.state.usage.add_to(window, sum);
+        }
+    }
+
+    /// Iterates over all peers that are known.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Iterates over the peers that have been heard of lately.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let live = move |p: &&Peer| now.duration_since(p.heard) < SUSPECT_AFTER;
+        self.peers.values().filter(live)
+    }
+}
--- /dev/null
+++ b/entry/src/metrics.rs
@@ -0,0 +1,51 @@
+//! Counters and histograms of an entry.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+
+/// Bounds of the latency histogram's buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// Counters and histograms.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    sends: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments of a meter.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            requests: meter
+                .u64_counter("hawthornrack_requests")
+                .with_description("Requests answered, by outcome")
+                .build(),
+            latency: meter
+                .f64_histogram("hawthornrack_request_seconds")
+                .with_description("Time until the whole answer or a stream's first event")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            sends: meter
+                .u64_counter("hawthornrack_sends")
+                .with_description("Sends to endpoints, by outcome")
+                .build(),
+        }
+    }
+
+    /// Counts an answered request.
+    pub fn note_request(&self, outcome: &'static str, took: Duration) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.latency.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a send.
+    pub fn note_send(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
--- /dev/null
+++ b/entry/src/refusal.rs
@@ -0,0 +1,108 @@
+//! The closed list of reasons for which the system itself ends a request, and their answers.
+
+use std::time::Duration;
+
+/// Why the system answers a request itself.
+#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, Hash, PartialEq)]
+pub enum RefusalKind {
+    /// the request is malformed
+    BadRequest,
+    /// the body is larger than the limit
+    BodyTooLarge,
+    /// no configuration is known yet
+    NoConfig,
+    /// no route matches
+    NoRoute,
+    /// the key is unknown
+    UnknownKey,
+    /// the customer's quota is used up
+    OverQuota,
+    /// no endpoint of the service is known
+    NoEndpoint,
+    /// the endpoints cannot serve the request in time
+    Overloaded,
+    /// the request has crashed the endpoints that ran it
+    Crashing,
+    /// the process is shutting down
+    Stopping,
+    /// every endpoint tried rejected the request unrun
+    Rejected,
+    /// the endpoint failed after it may have run the request
+    Broken,
+    /// time ran out after an endpoint may have begun to run the request
+    TimedOut,
+    /// time ran out before an endpoint began to run the request
+    Expired,
+}
+
+impl RefusalKind {
+    /// Returns the HTTP status of the answer.
+    ///
+    /// 429 and 503 promise that the request has not run and never will; 502 and 504 promise
+    /// nothing.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::BodyTooLarge => 413,
+            Self::UnknownKey => 401,
+            Self::NoRoute => 404,
+            Self::OverQuota => 429,
+            Self::NoConfig
+            | Self::NoEndpoint
+            | Self::Overloaded
+            | Self::Crashing
+            | Self::Stopping
+            | Self::Rejected
+            | Self::Expired => 503,
+            Self::Broken => 502,
+            Self::TimedOut => 504,
+        }
+    }
+
+    /// Returns the name for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NoConfig => "no_config",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::OverQuota => "over_quota",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded => "overloaded",
+            Self::Crashing => "crashing",
+            Self::Stopping => "stopping",
+            Self::Rejected => "rejected",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// A final answer of the system's own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Reason.
+    pub kind: RefusalKind,
+    /// Time after which the caller may come back, where the request has not run.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates a refusal without a time to come back.
+    pub const fn new(kind: RefusalKind) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+        }
+    }
+
+    /// Creates a refusal with a time to come back.
+    pub const fn after(kind: RefusalKind, span: Duration) -> Self {
+        Self {
+            kind,
+            retry_after: Some(span),
+        }
+    }
+}
