--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -225,11 +225,18 @@
         if let Some(prompt) = &request.call.prompt {
             endpoint.load.note_prompt(prompt, now);
         }
+        let id = endpoint.entry.id.clone();
+        let address = endpoint.entry.address;
+        drop(endpoints);
+        if prefill > 0 {
+            let mut prefilled = node.prefilled.lock();
+            *prefilled.entry(self.service.clone()).or_default() += u64::from(prefill);
+        }
         Ok(Place {
             node: Arc::clone(node),
             key,
-            endpoint: endpoint.entry.id.clone(),
-            address: endpoint.entry.address,
+            endpoint: id,
+            address,
             occupancy,
             begun: now,
         })
--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::BootTime;
 use crate::FencingToken;
+use crate::FleetKeeper;
 use crate::FleetOrder;
 use crate::LeaseRecord;
 use crate::Node;
@@ -111,6 +113,7 @@
     fixed: Option<WindowIndex>,
     /// An append whose outcome is unknown: the record and when it was sent.
     unknown: Option<(LeaseRecord, BootTime)>,
+    fleet: FleetKeeper,
 }
 
 impl<D: DutyEdge> Duties<D> {
@@ -122,6 +125,7 @@
             reports: Vec::new(),
             fixed: None,
             unknown: None,
+            fleet: FleetKeeper::default(),
         }
     }
 
@@ -163,6 +167,34 @@
             }
         }
         self.deliver(token).await;
+        self.order_endpoints(token).await;
+    }
+
+    /// Orders endpoints where the fleet is not as planned.
+    async fn order_endpoints(&mut self, token: FencingToken) {
+        if !self.node.settings.orders_endpoints {
+            return;
+        }
+        let now = Instant::now();
+        for order in self.fleet.orders(&self.node, now) {
+            if self.node.lease.lock().token(BootTime::now()) != Some(token) {
+                return;
+            }
+            let outcome = self.edge.order(token, &order).await;
+            tracing::info!(
+                event = "fleet_order",
+                service = %order.service,
+                domain = %order.domain,
+                spot = order.spot,
+                count = order.count,
+                error = outcome.as_ref().err().map(tracing::field::display),
+            );
+            self.fleet.note_outcome(&order, outcome.is_ok(), now);
+            if outcome == Err(DutyError::Fenced) {
+                self.give_up_term();
+                return;
+            }
+        }
     }
 
     /// Makes up the reports of windows that have settled; tells whether there were any.
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -91,7 +91,7 @@
         has_endpoints,
     } = exchange;
     let config = node.config().filter(|c| c.version > own.config);
-    let mut states = node.members.lock().newer_than(&digest);
+    let mut states = node.members.lock().newer_than(&digest, now);
     states.retain(|s| s.name != own.name);
     states.push(node.own_state());
     merge(node, own, now);
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -14,6 +14,7 @@
 use crate::EntryName;
 use crate::Fingerprint;
 use crate::LeaseView;
+use crate::ServiceName;
 use crate::Usage;
 use crate::UsageCounts;
 use crate::WindowIndex;
@@ -24,6 +25,9 @@
 /// Silence after which an entry is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// Entries that were forgotten and are remembered as such.
+const MAX_FORGOTTEN: usize = 1024;
+
 /// Age of what an entry says: its incarnation, then a number that grows within it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct StateAge {
@@ -67,6 +71,8 @@
     pub shares: Vec<EndpointShare>,
     /// Units that it admitted of each customer since its start.
     pub admitted: IndexMap<CustomerName, f64>,
+    /// Prompt tokens that endpoints had to read for it since its start, by service.
+    pub prefilled: IndexMap<ServiceName, u64>,
     /// Requests that began to run.
     pub usage: Usage,
     /// Requests that crashed endpoints.
@@ -90,6 +96,8 @@
     peers: IndexMap<EntryName, Peer>,
     /// Usage of incarnations that have ended.
     retired: Usage,
+    /// Age of the last state of each entry that was forgotten.
+    forgotten: IndexMap<EntryName, StateAge>,
 }
 
 impl Members {
@@ -105,6 +113,9 @@
                 true
             }
             None => {
+                if self.forgotten.get(&state.name).is_some_and(|age| *age >= state.age) {
+                    return false;
+                }
                 self.peers
                     .insert(state.name.clone(), Peer { state, heard: now });
                 true
@@ -118,14 +129,20 @@
         peers.map(|(name, p)| (name.clone(), p.state.age)).collect()
     }
 
-    /// Returns the states that are newer than a digest.
-    pub fn newer_than(&self, digest: &IndexMap<EntryName, StateAge>) -> Vec<EntryState> {
+    /// Returns the states of live entries that are newer than a digest.
+    ///
+    /// Those of silent entries are not passed on: the receiver would take them for news.
+    pub fn newer_than(
+        &self,
+        digest: &IndexMap<EntryName, StateAge>,
+        now: Instant,
+    ) -> Vec<EntryState> {
         let newer = |p: &&Peer| {
             digest
                 .get(&p.state.name)
                 .is_none_or(|age| *age < p.state.age)
         };
-        let peers = self.peers.values().filter(newer);
+        let peers = self.live(now).filter(newer);
         peers.map(|p| p.state.clone()).collect()
     }
 
@@ -137,8 +154,12 @@
         for name in &names {
             if let Some(peer) = self.peers.shift_remove(name) {
                 self.retired.merge(&peer.state.usage);
+                self.forgotten.insert(name.clone(), peer.state.age);
             }
         }
+        while self.forgotten.len() > MAX_FORGOTTEN {
+            self.forgotten.shift_remove_index(0);
+        }
         names
     }
 
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::sync::Notify;
@@ -26,6 +27,7 @@
 use crate::QuotaLedger;
 use crate::RetryBounds;
 use crate::RetryBudget;
+use crate::ServiceName;
 use crate::StateAge;
 use crate::TrueTime;
 use crate::Usage;
@@ -81,6 +83,8 @@
     pub crashes: Mutex<CrashRecord>,
     /// Requests that began to run here.
     pub usage: Mutex<Usage>,
+    /// Prompt tokens that endpoints had to read since the start, by service.
+    pub prefilled: Mutex<IndexMap<ServiceName, u64>>,
     /// Clock of day.
     pub time: Mutex<TrueTime>,
     /// Other entries.
@@ -110,6 +114,7 @@
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             crashes: Mutex::default(),
             usage: Mutex::default(),
+            prefilled: Mutex::default(),
             time: Mutex::default(),
             members: Mutex::default(),
             lease: Mutex::default(),
@@ -230,6 +235,7 @@
             lease: self.lease.lock().view(),
             shares,
             admitted: self.quotas.lock().own_totals(),
+            prefilled: self.prefilled.lock().clone(),
             usage: self.usage.lock().clone(),
             crashes: self.crashes.lock().to_share(SHARED_CRASHES),
             leaving,
