--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -14,10 +14,10 @@
 use crate::ServiceName;
 
 /// Prompt tokens a second that one engine reads while first events stay in time.
-const TOKENS_PER_ENGINE: f64 = 11_000.0;
+const TOKENS_PER_ENGINE: f64 = 4_500.0;
 
 /// Part of an engine's slots that are taken on average.
-const SLOT_SHARE: f64 = 0.35;
+const SLOT_SHARE: f64 = 0.2;
 
 /// Time for which the highest demand is remembered.
 const DEMAND_MEMORY: Duration = Duration::from_secs(15);
@@ -230,4 +230,4 @@
 }
 
 /// Reclaimable endpoints of a domain at least.
-const LEAST_SPOT: u32 = 2;
+const LEAST_SPOT: u32 = 4;
