lease, endpoints: a cut-off holder is succeeded; missing entries end in time

A holder cut from the store kept its lease alive for others by telling of the same record again and again.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -38,6 +38,9 @@
 /// Shortest time within which a stream's first event must come before it is tried elsewhere.
 const FIRST_EVENT_LEAST: Duration = Duration::from_millis(1500);
 
+/// Endpoints that are tried at most, with those that could not be reached.
+const MAX_UNREACHED: usize = 5;
+
 /// Time that must be left for a send to make sense.
 const LEAST_BUDGET: Duration = Duration::from_millis(20);
 
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -16,7 +16,10 @@
 use crate::VersionName;
 
 /// Time after an outage of the list for which a missing entry may still come back.
-const RETURN_TIME: Duration = Duration::from_millis(2500);
+const RETURN_TIME: Duration = Duration::from_millis(2000);
+
+/// Longest time for which a missing entry's endpoint is still used.
+const MISSING_LIMIT: Duration = Duration::from_millis(1200);
 
 /// Removed endpoints that are remembered.
 const MAX_REMOVED: usize = 1024;
@@ -151,15 +154,13 @@
         let Some(endpoint) = self.arena.get_mut(&key) else {
             return TableChange::None;
         };
-        let lapsed = self
-            .outage_end
-            .is_some_and(|end| now.duration_since(end) < RETURN_TIME);
         if endpoint.missing_at.is_some() {
             return TableChange::None;
         }
-        let grace = if lapsed { RETURN_TIME } else { Duration::ZERO };
-        endpoint.missing_at = Some(now + grace);
-        if lapsed {
+        let back_by = self.outage_end.map_or(now, |end| end + RETURN_TIME);
+        let gone_at = back_by.clamp(now, now + MISSING_LIMIT);
+        endpoint.missing_at = Some(gone_at);
+        if gone_at > now {
             TableChange::None
         } else {
             TableChange::Leaving
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -193,7 +193,6 @@
         spot: u32,
         now: Instant,
     ) -> u32 {
-        // Before the first order nothing is missing that could not be ordered cheaper.
         let mut sum = 0;
         for domain in scaling.domain_prices.keys() {
             let there = fleet.get(domain).map_or(0, |f| f.spot);
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -28,6 +28,7 @@
 use crate::Node;
 use crate::PeerLoad;
 use crate::StateAge;
+use crate::log_limit;
 use crate::wall_millis;
 
 /// Time between rounds.
@@ -151,7 +152,7 @@
     }
     let mut crashes = node.crashes.lock();
     for (request, endpoint) in &state.crashes {
-        if crashes.note(*request, endpoint, now) {
+        if crashes.note(*request, endpoint, now) && log_limit::allows("crash_learnt") {
             tracing::info!(event = "crash_learnt", request = request.0, %endpoint, peer = %name);
         }
     }
--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -70,6 +70,8 @@
     pub last: Option<LeaseRecord>,
     /// Time at which a record was last seen to be new.
     seen: Option<BootTime>,
+    /// Newest end of the stream that a peer told of.
+    told: u64,
     /// Own term: its token and the time until which it holds.
     own: Option<(FencingToken, BootTime)>,
 }
@@ -94,7 +96,8 @@
 
     /// Notes news of the lease from a peer.
     pub fn note_peer(&mut self, view: &LeaseView, now: BootTime) {
-        if view.end > self.end {
+        if view.end > self.end.max(self.told) {
+            self.told = view.end;
             self.seen = Some(now);
         }
     }
