--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -329,16 +329,18 @@
         failure: &SendFailure,
     ) -> Result<(), Refusal> {
         match failure {
-            SendFailure::NotWritten(_) | SendFailure::Rejected { .. } => {
-                let misdirected = matches!(
-                    failure,
-                    SendFailure::Rejected {
-                        misdirected: true,
-                        ..
-                    } | SendFailure::NotWritten(_)
-                );
-                if misdirected {
-                    // No server of the service has seen the request.
+            SendFailure::NotWritten(_) => {
+                // Nothing arrived anywhere, so that it counts neither as an attempt nor as a
+                // repeat.
+                self.sends -= 1;
+                if self.tried.len() >= MAX_UNREACHED {
+                    let after = Some(RETRY_AFTER_ENDPOINT);
+                    return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
+                }
+            }
+            SendFailure::Rejected { misdirected, .. } => {
+                if *misdirected {
+                    // No endpoint of the service has seen the request.
                     self.sends -= 1;
                 }
                 if !self.may_retry(node) {
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -19,6 +19,15 @@
 /// Part of an engine's slots that are taken on average.
 const SLOT_SHARE: f64 = 0.2;
 
+/// Reclaimable endpoints of a domain at least.
+const LEAST_SPOT: u32 = 4;
+
+/// Part of the endpoints that carry the load in comfort which must be there at all times.
+const REQUIRED_SHARE: f64 = 0.6;
+
+/// Time for which a refused order of reclaimable endpoints tells that they are scarce.
+const REFUSAL_MEMORY: Duration = Duration::from_secs(6);
+
 /// Time for which the highest demand is remembered.
 const DEMAND_MEMORY: Duration = Duration::from_secs(15);
 
@@ -101,7 +110,9 @@
         let mut orders = Vec::new();
         for (domain, on_demand) in wanted {
             let have = fleet.get(&domain).copied().unwrap_or_default();
-            for (is_spot, count, there) in [(true, spot, have.spot), (false, on_demand, have.on_demand)] {
+            for (is_spot, count, there) in
+                [(true, spot, have.spot), (false, on_demand, have.on_demand)]
+            {
                 if is_spot && scaling.spot_price.is_none() {
                     continue;
                 }
@@ -150,6 +161,9 @@
     }
 
     /// Returns the on-demand endpoints of each domain: what reclaimable ones do not cover.
+    ///
+    /// They are ordered for what is neither there nor starting, and given up only for
+    /// reclaimable ones that are there.
     fn on_demand_counts(
         &self,
         scaling: &Scaling,
@@ -158,31 +172,34 @@
         spot: u32,
         now: Instant,
     ) -> IndexMap<DomainName, u32> {
+        let required = ((needed * REQUIRED_SHARE).ceil() as u32).max(1);
         let ready: u32 = fleet.values().map(|f| f.spot).sum();
-        let starting: u32 = self.starting(scaling, fleet, spot, now);
-        let mut missing = (needed.ceil() as u32).max(1).saturating_sub(ready + starting);
-        let mut by_price: Vec<(&DomainName, f64)> =
-            scaling.domain_prices.iter().map(|(d, p)| (d, *p)).collect();
-        by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let mut counts: IndexMap<DomainName, u32> = IndexMap::new();
-        for (domain, _) in &by_price {
-            counts.insert((*domain).clone(), 0);
-        }
-        while missing > 0 {
-            let before = missing;
-            for (domain, _) in &by_price {
-                let there = fleet.get(*domain).map_or(0, |f| f.spot);
-                let count = counts.entry((*domain).clone()).or_default();
-                if missing > 0 && *count + there < scaling.max {
-                    *count += 1;
-                    missing -= 1;
-                }
-            }
-            if missing == before {
-                break;
-            }
-        }
-        counts
+        let largest = fleet.values().map(|f| f.spot).max().unwrap_or_default();
+        // Without replacements to be had, the loss of one more domain must be borne as well.
+        let at_risk = if self.is_refused(now) { largest } else { 0 };
+        let surely = ready - at_risk;
+        let starting = self.starting(scaling, fleet, spot, now);
+        let least = required.saturating_sub(surely + starting);
+        let most = required.saturating_sub(surely);
+        let ordered = self.on_demand_ordered(fleet);
+        spread(scaling, fleet, ordered.clamp(least, most))
+    }
+
+    /// Returns the on-demand endpoints that are ordered or, before any order, there.
+    fn on_demand_ordered(&self, fleet: &IndexMap<DomainName, DomainFleet>) -> u32 {
+        let ordered = |domain: &DomainName| self.orders.get(&(domain.clone(), false));
+        let counts = fleet.iter().map(|(domain, there)| {
+            let order = ordered(domain).filter(|o| o.accepted);
+            order.map_or(there.on_demand, |o| o.count)
+        });
+        counts.sum()
+    }
+
+    /// Tells whether reclaimable endpoints were refused lately.
+    fn is_refused(&self, now: Instant) -> bool {
+        self.orders.iter().any(|((_, spot), order)| {
+            *spot && !order.accepted && now.duration_since(order.at) < REFUSAL_MEMORY
+        })
     }
 
     /// Returns the reclaimable endpoints that were ordered and can still come in time.
@@ -228,5 +245,32 @@
     }
 }
 
-/// Reclaimable endpoints of a domain at least.
-const LEAST_SPOT: u32 = 4;
+/// Spreads on-demand endpoints over domains, the cheapest first.
+fn spread(
+    scaling: &Scaling,
+    fleet: &IndexMap<DomainName, DomainFleet>,
+    mut missing: u32,
+) -> IndexMap<DomainName, u32> {
+    let mut by_price: Vec<(&DomainName, f64)> =
+        scaling.domain_prices.iter().map(|(d, p)| (d, *p)).collect();
+    by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let mut counts: IndexMap<DomainName, u32> = IndexMap::new();
+    for (domain, _) in &by_price {
+        counts.insert((*domain).clone(), 0);
+    }
+    while missing > 0 {
+        let before = missing;
+        for (domain, _) in &by_price {
+            let there = fleet.get(*domain).map_or(0, |f| f.spot);
+            let count = counts.entry((*domain).clone()).or_default();
+            if missing > 0 && *count + there < scaling.max {
+                *count += 1;
+                missing -= 1;
+            }
+        }
+        if missing == before {
+            break;
+        }
+    }
+    counts
+}
--- a/entry/src/fleet_keeper.rs
+++ b/entry/src/fleet_keeper.rs
@@ -55,7 +55,9 @@
 impl FleetKeeper {
     /// Returns the orders that are due now.
     pub fn orders(&mut self, node: &Node, now: Instant) -> Vec<FleetOrder> {
-        let recent = self.looked.is_some_and(|at| now.duration_since(at) < LOOK_PAUSE);
+        let recent = self
+            .looked
+            .is_some_and(|at| now.duration_since(at) < LOOK_PAUSE);
         let Some(config) = node.config() else {
             return Vec::new();
         };
--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -83,7 +83,10 @@
             return;
         }
         self.end = end;
-        self.seen = Some(now);
+        if end > self.told || self.seen.is_none() {
+            // What a peer told of earlier is no news.
+            self.seen = Some(now);
+        }
         if let Some(last) = records.into_iter().next_back() {
             self.last = Some(last);
         }
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -113,7 +113,11 @@
                 true
             }
             None => {
-                if self.forgotten.get(&state.name).is_some_and(|age| *age >= state.age) {
+                if self
+                    .forgotten
+                    .get(&state.name)
+                    .is_some_and(|age| *age >= state.age)
+                {
                     return false;
                 }
                 self.peers
