--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -29,10 +29,14 @@
 use crate::PeerLoad;
 use crate::StateAge;
 use crate::log_limit;
+use crate::refresh_interval;
 use crate::wall_millis;
 
-/// Time between rounds.
-const ROUND: Duration = Duration::from_millis(300);
+/// Part of the rounds that stay in the own failure domain, where enough peers are there.
+const DOMAIN_SHARE: f64 = 0.8;
+
+/// Peers in the own failure domain from which most rounds stay there.
+const DOMAIN_PEERS: usize = 4;
 
 /// Time within which a peer must answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -221,7 +225,8 @@
                 self.exchange(node, name.as_ref(), address).await;
             }
             let jitter = rand::rng().random_range(0.8..1.2);
-            tokio::time::sleep(ROUND.mul_f64(jitter)).await;
+            let round = refresh_interval(node.entry_count());
+            tokio::time::sleep(round.mul_f64(jitter)).await;
         }
     }
 
@@ -271,7 +276,14 @@
         let members = node.members.lock();
         let address = |p: &crate::Peer| (Some(p.state.name.clone()), p.state.peer_address);
         let any = rng.random_bool(ANY_PEER_SHARE);
-        let live = members.live(now).map(address).choose(&mut rng);
+        let domain = &node.settings.domain;
+        let near = || members.live(now).filter(|p| p.state.domain == *domain);
+        let stay = near().count() >= DOMAIN_PEERS && rng.random_bool(DOMAIN_SHARE);
+        let live = if stay {
+            near().map(address).choose(&mut rng)
+        } else {
+            members.live(now).map(address).choose(&mut rng)
+        };
         let known = members.iter().map(address).choose(&mut rng);
         let own = node.settings.peer_address;
         let seeds = node.settings.seeds.iter().filter(|s| **s != own);
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -19,8 +19,18 @@
 use crate::UsageCounts;
 use crate::WindowIndex;
 
-/// Silence after which callers are no longer sent to an entry.
-const SUSPECT_AFTER: Duration = Duration::from_millis(2500);
+/// Refresh interval of a small system.
+const REFRESH_LEAST: Duration = Duration::from_millis(300);
+
+/// Refresh interval for each entry of a large system: what a node receives in a second does
+/// not grow with the number of entries.
+const REFRESH_PER_ENTRY: Duration = Duration::from_millis(30);
+
+/// Longest refresh interval.
+const REFRESH_MOST: Duration = Duration::from_secs(4);
+
+/// Silence after which callers are no longer sent to an entry, beyond two refresh intervals.
+const SUSPECT_AFTER: Duration = Duration::from_millis(2000);
 
 /// Silence after which an entry is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -81,6 +91,13 @@
     pub leaving: Vec<EndpointId>,
 }
 
+/// Returns the time between states that an entry of a system of this size tells.
+pub fn refresh_interval(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    let interval = REFRESH_PER_ENTRY.saturating_mul(entries);
+    interval.clamp(REFRESH_LEAST, REFRESH_MOST)
+}
+
 /// A peer as this entry sees it.
 #[derive(Debug)]
 pub struct Peer {
@@ -182,7 +199,8 @@
 
     /// Iterates over the peers that have been heard of lately.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let live = move |p: &&Peer| now.duration_since(p.heard) < SUSPECT_AFTER;
+        let limit = SUSPECT_AFTER + refresh_interval(self.peers.len() + 1) * 2;
+        let live = move |p: &&Peer| now.duration_since(p.heard) < limit;
         self.peers.values().filter(live)
     }
 }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -32,10 +32,14 @@
 use crate::TrueTime;
 use crate::Usage;
 use crate::WindowIndex;
+use crate::refresh_interval;
 use crate::wall_millis;
 
-/// Crashing requests that peers are told of.
-const SHARED_CRASHES: usize = 32;
+/// Requests that crashed endpoints of which peers are told.
+const SHARED_CRASHES: usize = 8;
+
+/// Usage windows of which peers are told.
+const SHARED_WINDOWS: usize = 3;
 
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
@@ -100,6 +104,8 @@
     /// Cancelled when the process starts its graceful shutdown.
     pub stopping: CancellationToken,
     config: RwLock<Option<Arc<Config>>>,
+    /// State that peers are told, and when it was made.
+    told: Mutex<Option<(Instant, EntryState)>>,
     incarnation: u64,
     sequence: AtomicU64,
     in_flight: AtomicU64,
@@ -123,6 +129,7 @@
             config_changed: Notify::new(),
             stopping: CancellationToken::new(),
             config: RwLock::new(None),
+            told: Mutex::default(),
             incarnation: wall_millis(),
             sequence: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
@@ -216,8 +223,26 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns what this entry says of itself now.
+    /// Returns what this entry says of itself, made anew once a refresh interval.
     pub fn own_state(&self) -> EntryState {
+        let now = Instant::now();
+        let interval = refresh_interval(self.entry_count());
+        let mut told = self.told.lock();
+        match &*told {
+            Some((at, state))
+                if now.duration_since(*at) < interval && state.ready == self.is_ready() =>
+            {
+                state.clone()
+            }
+            _ => {
+                let state = self.make_state();
+                *told = Some((now, state.clone()));
+                state
+            }
+        }
+    }
+
+    fn make_state(&self) -> EntryState {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let settings = &self.settings;
         let (shares, leaving) = self.own_endpoints();
@@ -236,7 +261,7 @@
             shares,
             admitted: self.quotas.lock().own_totals(),
             prefilled: self.prefilled.lock().clone(),
-            usage: self.usage.lock().clone(),
+            usage: self.usage.lock().newest(SHARED_WINDOWS),
             crashes: self.crashes.lock().to_share(SHARED_CRASHES),
             leaving,
         }
--- a/entry/src/usage.rs
+++ b/entry/src/usage.rs
@@ -35,6 +35,16 @@
         self.windows.retain(|w, _| *w >= oldest);
     }
 
+    /// Returns the counts of the newest windows.
+    pub fn newest(&self, count: usize) -> Self {
+        let mut windows = self.windows.clone();
+        windows.sort_unstable_keys();
+        let skipped = windows.len().saturating_sub(count);
+        Self {
+            windows: windows.split_off(skipped),
+        }
+    }
+
     /// Adds all counts of another record.
     pub fn merge(&mut self, other: &Self) {
         for (window, counts) in &other.windows {
