--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -12,7 +12,7 @@
 const MAX_CRASHES: usize = 3;
 
 /// Time for which a crash is remembered.
-const MEMORY: Duration = Duration::from_secs(120);
+const MEMORY: Duration = Duration::from_mins(2);
 
 /// Requests that are remembered.
 const MAX_REQUESTS: usize = 512;
--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -18,12 +18,17 @@
 use crate::UsageCounts;
 use crate::UsageReport;
 use crate::WindowIndex;
+use crate::refresh_interval;
 
 /// Time between looks at the duties.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Time after the end of a window at which its counts have reached the holder.
-const SETTLE: Duration = Duration::from_millis(2200);
+/// Time after the end of a window at which its counts have reached the holder, beyond the
+/// refresh intervals that they take.
+const SETTLE: Duration = Duration::from_millis(1800);
+
+/// Refresh intervals that the counts of an entry take to reach the holder.
+const SETTLE_REFRESHES: u32 = 3;
 
 /// Windows for which reports are made up at most, counted back from the present.
 const MAX_WINDOWS: u64 = 5;
@@ -206,10 +211,12 @@
             return false;
         }
         let length = crate::millis(self.node.settings.usage_window).max(1);
+        let refresh = refresh_interval(self.node.entry_count());
+        let settle = (SETTLE + refresh * SETTLE_REFRESHES).min(self.node.settings.usage_due / 2);
         let settled = self
             .node
             .true_millis()
-            .saturating_sub(crate::millis(SETTLE))
+            .saturating_sub(crate::millis(settle))
             / length;
         let first = (fixed.0 + 1).max(settled.saturating_sub(MAX_WINDOWS));
         for index in first..settled {
@@ -296,15 +303,12 @@
     /// Takes over what the last holder fixed.
     fn adopt_reports(&mut self) {
         let last = self.node.lease.lock().last.clone();
-        match last {
-            Some(record) => {
-                self.reports = record.reports;
-                self.fixed = Some(record.fixed);
-            }
-            None => {
-                self.reports.clear();
-                self.fixed = Some(WindowIndex(self.node.usage_window().0.saturating_sub(1)));
-            }
+        if let Some(record) = last {
+            self.reports = record.reports;
+            self.fixed = Some(record.fixed);
+        } else {
+            self.reports.clear();
+            self.fixed = Some(WindowIndex(self.node.usage_window().0.saturating_sub(1)));
         }
     }
 
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -16,7 +16,7 @@
 use crate::VersionName;
 
 /// Time after an outage of the list for which a missing entry may still come back.
-const RETURN_TIME: Duration = Duration::from_millis(2000);
+const RETURN_TIME: Duration = Duration::from_secs(2);
 
 /// Longest time for which a missing entry's endpoint is still used.
 const MISSING_LIMIT: Duration = Duration::from_millis(1200);
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -105,7 +105,7 @@
     ) -> Vec<FleetOrder> {
         let domains = scaling.domain_prices.len().max(1);
         let needed = self.remember(demand.endpoints(), now);
-        let spot = self.spot_count(scaling, needed, domains);
+        let spot = Self::spot_count(scaling, needed, domains);
         let wanted = self.on_demand_counts(scaling, fleet, needed, spot, now);
         let mut orders = Vec::new();
         for (domain, on_demand) in wanted {
@@ -151,7 +151,7 @@
     }
 
     /// Returns the reclaimable endpoints of each domain, such that one domain may be lost.
-    fn spot_count(&self, scaling: &Scaling, needed: f64, domains: usize) -> u32 {
+    fn spot_count(scaling: &Scaling, needed: f64, domains: usize) -> u32 {
         if scaling.spot_price.is_none() {
             return 0;
         }
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -29,9 +29,17 @@
 use crate::PeerLoad;
 use crate::StateAge;
 use crate::log_limit;
-use crate::refresh_interval;
 use crate::wall_millis;
 
+/// Time between rounds of a small system.
+const ROUND_LEAST: Duration = Duration::from_millis(300);
+
+/// Time between rounds for each entry of a large system.
+const ROUND_PER_ENTRY: Duration = Duration::from_millis(5);
+
+/// Longest time between rounds.
+const ROUND_MOST: Duration = Duration::from_secs(1);
+
 /// Part of the rounds that stay in the own failure domain, where enough peers are there.
 const DOMAIN_SHARE: f64 = 0.8;
 
@@ -99,7 +107,7 @@
     let mut states = node.members.lock().newer_than(&digest, now);
     states.retain(|s| s.name != own.name);
     states.push(node.own_state());
-    merge(node, own, now);
+    merge(node, &own, now);
     refresh(node);
     News {
         states,
@@ -128,7 +136,7 @@
         }
     }
     for state in news.states {
-        merge(node, state, now);
+        merge(node, &state, now);
     }
     refresh(node);
 }
@@ -142,7 +150,7 @@
         .then(|| known.map(|(_, e)| e.entry.clone()).collect())
 }
 
-fn merge(node: &Node, state: EntryState, now: Instant) {
+fn merge(node: &Node, state: &EntryState, now: Instant) {
     if state.name == node.settings.name {
         return;
     }
@@ -198,6 +206,12 @@
     }
 }
 
+fn round_interval(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    let interval = ROUND_PER_ENTRY.saturating_mul(entries);
+    interval.clamp(ROUND_LEAST, ROUND_MOST)
+}
+
 /// Serves peers' calls until the process ends.
 ///
 /// # Errors
@@ -221,11 +235,11 @@
     pub async fn run(&self, node: &Arc<Node>) {
         loop {
             node.note_own_clock();
-            if let Some((name, address)) = self.pick(node) {
+            if let Some((name, address)) = pick(node) {
                 self.exchange(node, name.as_ref(), address).await;
             }
             let jitter = rand::rng().random_range(0.8..1.2);
-            let round = refresh_interval(node.entry_count());
+            let round = round_interval(node.entry_count());
             tokio::time::sleep(round.mul_f64(jitter)).await;
         }
     }
@@ -240,7 +254,7 @@
         };
         match self.call(address, exchange).await {
             Ok(news) => {
-                let middle = (sent.millis() + BootTime::now().millis()) / 2;
+                let middle = u64::midpoint(sent.millis(), BootTime::now().millis());
                 if let Some(name) = name {
                     node.time.lock().note_peer(name, news.wall_ms, middle);
                 }
@@ -269,28 +283,29 @@
         clients.insert(address, client.clone());
         Ok(client)
     }
+}
 
-    fn pick(&self, node: &Node) -> Option<(Option<EntryName>, SocketAddr)> {
-        let mut rng = rand::rng();
-        let now = Instant::now();
-        let members = node.members.lock();
-        let address = |p: &crate::Peer| (Some(p.state.name.clone()), p.state.peer_address);
-        let any = rng.random_bool(ANY_PEER_SHARE);
-        let domain = &node.settings.domain;
-        let near = || members.live(now).filter(|p| p.state.domain == *domain);
-        let stay = near().count() >= DOMAIN_PEERS && rng.random_bool(DOMAIN_SHARE);
-        let live = if stay {
-            near().map(address).choose(&mut rng)
-        } else {
-            members.live(now).map(address).choose(&mut rng)
-        };
-        let known = members.iter().map(address).choose(&mut rng);
-        let own = node.settings.peer_address;
-        let seeds = node.settings.seeds.iter().filter(|s| **s != own);
-        let seed = seeds.copied().choose(&mut rng).map(|s| (None, s));
-        match (live, any) {
-            (Some(live), false) => Some(live),
-            _ => known.filter(|_| rng.random_bool(0.7)).or(seed),
-        }
+/// Chooses the peer of a round.
+fn pick(node: &Node) -> Option<(Option<EntryName>, SocketAddr)> {
+    let mut rng = rand::rng();
+    let now = Instant::now();
+    let members = node.members.lock();
+    let address = |p: &crate::Peer| (Some(p.state.name.clone()), p.state.peer_address);
+    let any = rng.random_bool(ANY_PEER_SHARE);
+    let domain = &node.settings.domain;
+    let near = || members.live(now).filter(|p| p.state.domain == *domain);
+    let stay = near().count() >= DOMAIN_PEERS && rng.random_bool(DOMAIN_SHARE);
+    let live = if stay {
+        near().map(address).choose(&mut rng)
+    } else {
+        members.live(now).map(address).choose(&mut rng)
+    };
+    let known = members.iter().map(address).choose(&mut rng);
+    let own = node.settings.peer_address;
+    let seeds = node.settings.seeds.iter().filter(|s| **s != own);
+    let seed = seeds.copied().choose(&mut rng).map(|s| (None, s));
+    match (live, any) {
+        (Some(live), false) => Some(live),
+        _ => known.filter(|_| rng.random_bool(0.7)).or(seed),
     }
 }
--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -14,7 +14,7 @@
 use crate::WindowIndex;
 
 /// Time for which a record holds the lease, counted from before it was sent.
-pub const LEASE_TERM: Duration = Duration::from_millis(3000);
+pub const LEASE_TERM: Duration = Duration::from_secs(3);
 
 /// Age of its last record at which a holder renews.
 pub const RENEW_AFTER: Duration = Duration::from_millis(1200);
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -122,7 +122,6 @@
 pub use retry_budget::RetryBudget;
 pub use serve::Reply;
 pub use serve::serve;
-pub use serve::takes_streams;
 pub use sse::EventSplitter;
 pub use sse::EventTooLarge;
 pub use true_time::TrueTime;
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -24,13 +24,13 @@
 
 /// Refresh interval for each entry of a large system: what a node receives in a second does
 /// not grow with the number of entries.
-const REFRESH_PER_ENTRY: Duration = Duration::from_millis(30);
+const REFRESH_PER_ENTRY: Duration = Duration::from_millis(15);
 
 /// Longest refresh interval.
 const REFRESH_MOST: Duration = Duration::from_secs(4);
 
 /// Silence after which callers are no longer sent to an entry, beyond two refresh intervals.
-const SUSPECT_AFTER: Duration = Duration::from_millis(2000);
+const SUSPECT_AFTER: Duration = Duration::from_secs(2);
 
 /// Silence after which an entry is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -103,6 +104,7 @@
     pub config_changed: Notify,
     /// Cancelled when the process starts its graceful shutdown.
     pub stopping: CancellationToken,
+    stop_begun: OnceLock<Instant>,
     config: RwLock<Option<Arc<Config>>>,
     /// State that peers are told, and when it was made.
     told: Mutex<Option<(Instant, EntryState)>>,
@@ -128,6 +130,7 @@
             freed: Notify::new(),
             config_changed: Notify::new(),
             stopping: CancellationToken::new(),
+            stop_begun: OnceLock::new(),
             config: RwLock::new(None),
             told: Mutex::default(),
             incarnation: wall_millis(),
@@ -174,6 +177,17 @@
             && self.endpoints.lock().is_loaded()
     }
 
+    /// Starts the graceful shutdown.
+    pub fn begin_stop(&self) {
+        self.stop_begun.get_or_init(Instant::now);
+        self.stopping.cancel();
+    }
+
+    /// Returns the start of the graceful shutdown, if it has begun.
+    pub fn stopping_since(&self) -> Option<Instant> {
+        self.stop_begun.get().copied()
+    }
+
     /// Returns the addresses of entries that take callers, at most `most`.
     pub fn caller_addresses(&self, now: Instant, most: usize) -> Vec<SocketAddr> {
         let members = self.members.lock();
--- a/entry/src/quota.rs
+++ b/entry/src/quota.rs
@@ -17,9 +17,6 @@
 /// Silence of a peer after which its share of the rate is taken in place of its counts.
 const SILENCE: Duration = Duration::from_millis(1500);
 
-/// Part of a quota that is given out, leaving room for news on their way.
-const GIVEN_SHARE: f64 = 1.0;
-
 #[derive(Debug)]
 struct PeerCount {
     total: f64,
@@ -99,7 +96,7 @@
             bucket.own += units;
             return Admission::Admitted;
         }
-        let wait = (needed - bucket.level) / (quota.rate * GIVEN_SHARE);
+        let wait = (needed - bucket.level) / quota.rate;
         Admission::Over(Duration::from_secs_f64(wait.min(60.0)))
     }
 
@@ -162,7 +159,7 @@
         self.quota = quota;
         let elapsed = now.duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
-        self.level += elapsed * quota.rate * GIVEN_SHARE;
+        self.level += elapsed * quota.rate;
         self.level -= self.assumed(entries, now);
         self.level = self.level.min(quota.burst);
     }
@@ -182,26 +179,23 @@
     }
 
     fn note_peer(&mut self, peer: &EntryName, total: f64, now: Instant) {
-        match self.peers.get_mut(peer) {
-            Some(count) => {
-                // A peer that started again counts from zero.
-                let news = if total >= count.total {
-                    total - count.total
-                } else {
-                    total
-                };
-                self.level -= news;
-                count.total = total;
-                count.heard = now;
-            }
-            None => {
-                let count = PeerCount {
-                    total,
-                    heard: now,
-                    assumed: now,
-                };
-                self.peers.insert(peer.clone(), count);
-            }
-        }
+        let Some(count) = self.peers.get_mut(peer) else {
+            let count = PeerCount {
+                total,
+                heard: now,
+                assumed: now,
+            };
+            self.peers.insert(peer.clone(), count);
+            return;
+        };
+        // A peer that started again counts from zero.
+        let news = if total >= count.total {
+            total - count.total
+        } else {
+            total
+        };
+        self.level -= news;
+        count.total = total;
+        count.heard = now;
     }
 }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -29,10 +29,16 @@
 const RETRY_AFTER_START: Duration = Duration::from_millis(700);
 
 /// Time after which a crashing request may come back.
-const RETRY_AFTER_CRASH: Duration = Duration::from_secs(60);
+const RETRY_AFTER_CRASH: Duration = Duration::from_mins(1);
+
+/// Time after which callers may come back, at another entry, while the process stops.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
 
 /// Time after the start of a shutdown until which new streams are taken.
-const LAST_STREAMS: Duration = Duration::from_secs(2);
+const LAST_STREAMS: Duration = Duration::from_millis(3200);
+
+/// Time before the end of a shutdown from which no more calls are taken.
+const LAST_CALLS: Duration = Duration::from_secs(2);
 
 /// Answer to a caller.
 #[derive(Debug)]
@@ -82,6 +88,9 @@
         return Err(Refusal::new(RefusalKind::NoRoute));
     };
     let customer = find_customer(&config, &route, call)?;
+    if !takes_requests(node, &route) {
+        return Err(Refusal::after(RefusalKind::Stopping, RETRY_AFTER_STOP));
+    }
     let fingerprint = call.fingerprint(customer.map(|c| &c.name));
     if node.crashes.lock().is_crashing(fingerprint) {
         return Err(Refusal::after(RefusalKind::Crashing, RETRY_AFTER_CRASH));
@@ -106,6 +115,19 @@
     Ok(admitted)
 }
 
+/// Tells whether a process that stops can still finish a request of a route.
+fn takes_requests(node: &Node, route: &Route) -> bool {
+    let Some(since) = node.stopping_since() else {
+        return true;
+    };
+    let limit = if route.kind.is_stream() {
+        LAST_STREAMS
+    } else {
+        node.settings.grace.saturating_sub(LAST_CALLS)
+    };
+    since.elapsed() < limit
+}
+
 fn find_customer<'a>(
     config: &'a Config,
     route: &Route,
@@ -251,8 +273,3 @@
         retry_after_ms = retry_after.map(crate::millis),
     );
 }
-
-/// Tells whether a stopping process still takes a stream.
-pub fn takes_streams(since_stop: Duration) -> bool {
-    since_stop < LAST_STREAMS
-}
