--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -306,6 +306,7 @@
         if let Some(record) = last {
             self.reports = record.reports;
             self.fixed = Some(record.fixed);
+            self.fleet.adopt(record.baselines);
         } else {
             self.reports.clear();
             self.fixed = Some(WindowIndex(self.node.usage_window().0.saturating_sub(1)));
@@ -336,6 +337,7 @@
             term,
             reports: self.reports.clone(),
             fixed: self.fixed.unwrap_or_default(),
+            baselines: self.fleet.baselines(),
             released,
         }
     }
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -95,17 +95,21 @@
 
 impl FleetPlan {
     /// Returns the orders that bring the fleet to its size.
+    ///
+    /// `baseline` is the number of endpoints of a domain that operators started with; the load
+    /// that they expect shows in it before any request does.
     pub fn orders(
         &mut self,
         service: &ServiceName,
         scaling: &Scaling,
+        baseline: u32,
         fleet: &IndexMap<DomainName, DomainFleet>,
         demand: Demand,
         now: Instant,
     ) -> Vec<FleetOrder> {
         let domains = scaling.domain_prices.len().max(1);
         let needed = self.remember(demand.endpoints(), now);
-        let spot = Self::spot_count(scaling, needed, domains);
+        let spot = Self::spot_count(scaling, baseline, needed, domains);
         let wanted = self.on_demand_counts(scaling, fleet, needed, spot, now);
         let mut orders = Vec::new();
         for (domain, on_demand) in wanted {
@@ -151,13 +155,14 @@
     }
 
     /// Returns the reclaimable endpoints of each domain, such that one domain may be lost.
-    fn spot_count(scaling: &Scaling, needed: f64, domains: usize) -> u32 {
+    fn spot_count(scaling: &Scaling, baseline: u32, needed: f64, domains: usize) -> u32 {
         if scaling.spot_price.is_none() {
             return 0;
         }
         let others = domains.saturating_sub(1).max(1) as f64;
         let each = (needed / others).ceil() as u32;
-        each.clamp(scaling.min.max(LEAST_SPOT), scaling.max)
+        let least = scaling.min.max(LEAST_SPOT).max(baseline);
+        each.max(least).min(scaling.max)
     }
 
     /// Returns the on-demand endpoints of each domain: what reclaimable ones do not cover.
--- a/entry/src/fleet_keeper.rs
+++ b/entry/src/fleet_keeper.rs
@@ -49,10 +49,21 @@
 #[derive(Debug, Default)]
 pub struct FleetKeeper {
     plans: IndexMap<ServiceName, (Rate, FleetPlan)>,
+    baselines: IndexMap<ServiceName, u32>,
     looked: Option<Instant>,
 }
 
 impl FleetKeeper {
+    /// Returns the endpoints of a domain that were there at first, by service.
+    pub fn baselines(&self) -> IndexMap<ServiceName, u32> {
+        self.baselines.clone()
+    }
+
+    /// Takes over what an earlier holder found at first.
+    pub fn adopt(&mut self, baselines: IndexMap<ServiceName, u32>) {
+        self.baselines = baselines;
+    }
+
     /// Returns the orders that are due now.
     pub fn orders(&mut self, node: &Node, now: Instant) -> Vec<FleetOrder> {
         let recent = self
@@ -74,7 +85,13 @@
             rate.update(&token_totals(node, name), now);
             let (fleet, mut demand) = look(node, name, now);
             demand.prefill = rate.per_second;
-            orders.extend(plan.orders(name, scaling, &fleet, demand, now));
+            let largest = fleet.values().map(|f| f.spot + f.on_demand).max();
+            if largest.is_some_and(|l| l > 0) && !self.baselines.contains_key(name) {
+                self.baselines
+                    .insert(name.clone(), largest.unwrap_or_default());
+            }
+            let baseline = self.baselines.get(name).copied().unwrap_or_default();
+            orders.extend(plan.orders(name, scaling, baseline, &fleet, demand, now));
         }
         orders
     }
--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -5,11 +5,13 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::BootTime;
 use crate::EntryName;
+use crate::ServiceName;
 use crate::UsageCounts;
 use crate::WindowIndex;
 
@@ -44,6 +46,8 @@
     pub reports: Vec<UsageReport>,
     /// Newest window whose report is fixed.
     pub fixed: WindowIndex,
+    /// Endpoints of a domain that the first holder found, by service.
+    pub baselines: IndexMap<ServiceName, u32>,
     /// Whether the holder gives the lease up.
     pub released: bool,
 }
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -162,6 +162,7 @@
         term: None,
         reports: Vec::new(),
         fixed: WindowIndex(0),
+        baselines: IndexMap::new(),
         released: false,
     }
 }
--- a/entry/tests/test_fleet.rs
+++ b/entry/tests/test_fleet.rs
@@ -66,7 +66,7 @@
             self.start_ordered(now);
             let orders = self
                 .plan
-                .orders(&service, &scaling(true), &self.fleet, DEMAND, now);
+                .orders(&service, &scaling(true), 3, &self.fleet, DEMAND, now);
             for order in orders {
                 let accepted = !(order.spot && self.scarce);
                 self.plan.note_outcome(&order, accepted, now);
@@ -149,11 +149,11 @@
     let now = Instant::now();
     let orders = world
         .plan
-        .orders(&service, &scaling(true), &world.fleet, DEMAND, now);
+        .orders(&service, &scaling(true), 3, &world.fleet, DEMAND, now);
     assert_eq!(orders, []);
     // A holder that takes over orders nothing either.
     let mut successor = FleetPlan::default();
-    let orders = successor.orders(&service, &scaling(true), &world.fleet, DEMAND, now);
+    let orders = successor.orders(&service, &scaling(true), 3, &world.fleet, DEMAND, now);
     assert_eq!(orders, []);
 }
 
@@ -168,6 +168,7 @@
         let orders = plan.orders(
             &service,
             &scaling(spot),
+            3,
             &world.fleet,
             demand,
             Instant::now(),
@@ -176,3 +177,18 @@
         assert!(spot || orders.iter().all(|o| !o.spot), "{orders:?}");
     }
 }
+
+// Found on a quiet day of the grown Kanem: before the first request the fleet was cut to a
+// fraction of what operators had started with.
+#[tokio::test(start_paused = true)]
+async fn test_fleet_keeps_what_operators_started_with_while_no_load_is_known() {
+    let mut plan = FleetPlan::default();
+    let service = ServiceName::from("engines");
+    let mut scaling = scaling(true);
+    scaling.max = 30;
+    let world = World::new(15);
+    let none = Demand::default();
+    let orders = plan.orders(&service, &scaling, 15, &world.fleet, none, Instant::now());
+    let spot: u32 = orders.iter().filter(|o| o.spot).map(|o| o.count).sum();
+    assert!(spot >= 60, "{orders:?}");
+}
