ctl: commands wait for controllers of a new deployment

The README's demo failed in 3 of 7 runs when apply came before the controllers had a configuration. test_ctl_apply_waits_for_controllers_of_a_new_deployment failed before with 'no server could answer'.

--- a/programs/src/ctl_commands/session.rs
+++ b/programs/src/ctl_commands/session.rs
@@ -8,6 +8,8 @@
 use hawthornrack_lib::ConfigState;
 use hawthornrack_lib::operator_proto as proto;
 use hawthornrack_lib::operator_proto::operator_client::OperatorClient;
+use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tonic::Code;
 use tonic::Request;
@@ -29,6 +31,12 @@
 /// Time within which a call must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which a command waits for controllers that cannot answer yet.
+const START_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Pause before all controllers are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time between two pings on a connection, and time within which one must be answered.
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -85,13 +93,31 @@
     }
 
     /// Calls one controller after the other until one answers.
+    ///
+    /// Controllers that have just started answer that they know no configuration yet; they are
+    /// asked again for a while.
     pub(crate) async fn call<T>(
         &mut self,
         call: impl AsyncFn(Client) -> Result<Response<T>, Status>,
+    ) -> CommandResult<T> {
+        let end = Instant::now() + START_PATIENCE;
+        loop {
+            let round = self.call_each(&call).await;
+            let unreachable = matches!(round, Err(CommandError::Unreachable(_)));
+            if !unreachable || Instant::now() >= end {
+                return round;
+            }
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    async fn call_each<T>(
+        &mut self,
+        call: &impl AsyncFn(Client) -> Result<Response<T>, Status>,
     ) -> CommandResult<T> {
         let mut faults = Vec::new();
         for _ in 0..self.servers.len() {
-            match self.call_current(&call).await {
+            match self.call_current(call).await {
                 Ok(reply) => return Ok(reply),
                 Err(status) if is_unreachable(&status) => {
                     let server = self.servers[self.current];
--- a/programs/tests/test_ctl.rs
+++ b/programs/tests/test_ctl.rs
@@ -136,14 +136,18 @@
 }
 
 impl Site {
-    async fn start(controllers: usize) -> Self {
+    fn empty() -> Self {
         let dir = tempfile::tempdir().unwrap();
         fs::write(dir.path().join("secret"), "the-shared-key").unwrap();
-        let mut site = Self {
+        Self {
             dir,
             log: Process::lab("log", &[]),
             controllers: Vec::new(),
-        };
+        }
+    }
+
+    async fn start(controllers: usize) -> Self {
+        let mut site = Self::empty();
         for index in 0..controllers {
             site.add(index);
         }
@@ -241,6 +245,23 @@
     assert!(done.err.contains(&address.to_string()), "{done:?}");
 }
 
+// The first command of the README failed at times: controllers that had no configuration in
+// force yet refused, and the command gave up at once.
+#[tokio::test]
+async fn test_ctl_apply_waits_for_controllers_of_a_new_deployment() {
+    let mut site = Site::empty();
+    site.log.pause();
+    site.add(0);
+    site.add(1);
+    let desk = site.desk();
+    let resume = async {
+        tokio::time::sleep(std::time::Duration::from_millis(1500)).await;
+        site.log.resume();
+    };
+    let (done, ()) = tokio::join!(desk.run("apply site.toml"), resume);
+    assert_eq!(done.code, 0, "{done:?}");
+}
+
 #[tokio::test]
 async fn test_ctl_apply_is_idempotent() {
     let site = Site::start(2).await;
