--- a/entry/src/fleet_keeper.rs
+++ b/entry/src/fleet_keeper.rs
@@ -17,6 +17,9 @@
 /// Time over which the rate of prompt tokens is taken.
 const RATE_SPAN: Duration = Duration::from_secs(2);
 
+/// Time within which the endpoints of a new deployment have become known.
+const FIND_TIME: Duration = Duration::from_millis(1500);
+
 /// Time between looks at the fleet.
 const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
@@ -50,6 +53,9 @@
 pub struct FleetKeeper {
     plans: IndexMap<ServiceName, (Rate, FleetPlan)>,
     baselines: IndexMap<ServiceName, u32>,
+    /// Whether the baselines are those of an earlier holder.
+    adopted: bool,
+    begun: Option<Instant>,
     looked: Option<Instant>,
 }
 
@@ -61,6 +67,7 @@
 
     /// Takes over what an earlier holder found at first.
     pub fn adopt(&mut self, baselines: IndexMap<ServiceName, u32>) {
+        self.adopted = true;
         self.baselines = baselines;
     }
 
@@ -85,12 +92,18 @@
             rate.update(&token_totals(node, name), now);
             let (fleet, mut demand) = look(node, name, now);
             demand.prefill = rate.per_second;
-            let largest = fleet.values().map(|f| f.spot + f.on_demand).max();
-            if largest.is_some_and(|l| l > 0) && !self.baselines.contains_key(name) {
-                self.baselines
-                    .insert(name.clone(), largest.unwrap_or_default());
+            let found = fleet
+                .values()
+                .map(|f| f.on_demand)
+                .max()
+                .unwrap_or_default();
+            let baseline = self.baselines.entry(name.clone()).or_default();
+            let since = now.duration_since(*self.begun.get_or_insert(now));
+            if !self.adopted && since < FIND_TIME {
+                *baseline = found.max(*baseline);
+                continue;
             }
-            let baseline = self.baselines.get(name).copied().unwrap_or_default();
+            let baseline = *baseline;
             orders.extend(plan.orders(name, scaling, baseline, &fleet, demand, now));
         }
         orders
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -40,12 +40,12 @@
 /// Longest time between rounds.
 const ROUND_MOST: Duration = Duration::from_secs(1);
 
-/// Part of the rounds that stay in the own failure domain, where enough peers are there.
-const DOMAIN_SHARE: f64 = 0.8;
-
 /// Peers in the own failure domain from which most rounds stay there.
 const DOMAIN_PEERS: usize = 4;
 
+/// Rounds that leave a failure domain while each of its entries plays one.
+const ROUNDS_OUT: f64 = 1.5;
+
 /// Time within which a peer must answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -294,7 +294,8 @@
     let any = rng.random_bool(ANY_PEER_SHARE);
     let domain = &node.settings.domain;
     let near = || members.live(now).filter(|p| p.state.domain == *domain);
-    let stay = near().count() >= DOMAIN_PEERS && rng.random_bool(DOMAIN_SHARE);
+    let stay = near().count() >= DOMAIN_PEERS
+        && !rng.random_bool((ROUNDS_OUT / near().count() as f64).min(1.0));
     let live = if stay {
         near().map(address).choose(&mut rng)
     } else {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -65,8 +65,8 @@
     pub usage_window: Duration,
     /// Time after its end at which a window's usage is due.
     pub usage_due: Duration,
-    /// Time after a disturbance from which time limits hold again.
-    pub contact: Duration,
+    /// Time for which an endpoint that leaves still serves.
+    pub drain: Duration,
     /// Whether usage is reported.
     pub reports_usage: bool,
     /// Whether endpoints are ordered.
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -23,6 +23,12 @@
 /// Weight of reading shared parts again over the time that it takes.
 const REREAD_WEIGHT: f64 = 3.0;
 
+/// Endpoints of a fleet for each home of a session beyond the first.
+const ENDPOINTS_PER_HOME: usize = 24;
+
+/// Homes of a session at most.
+const MAX_HOMES: usize = 3;
+
 /// Cost of an endpoint in another failure domain, in milliseconds.
 const DOMAIN_COST_MS: f64 = 4.0;
 
@@ -81,7 +87,8 @@
 
 /// Chooses the endpoint with the least cost.
 pub fn choose(table: &EndpointTable, what: &Placement<'_>, now: Instant) -> Choice {
-    let home = what.prompt.and_then(|p| home_of(table, what, p, now));
+    let homes = what.prompt.map(|p| homes_of(table, what, p, now));
+    let homes = homes.unwrap_or_default();
     let mut best: Option<(f64, EndpointKey, u32)> = None;
     let mut soonest: Option<Duration> = None;
     for (key, endpoint) in table.candidates(what.service, now) {
@@ -93,7 +100,7 @@
             soonest = Some(soonest.map_or(wait, |s| s.min(wait)));
             continue;
         }
-        let (cost, prefill) = cost_of(endpoint, what, home == Some(key), now);
+        let (cost, prefill) = cost_of(endpoint, what, homes.contains(&key), now);
         if best.is_none_or(|(least, ..)| cost < least) {
             best = Some((cost, key, prefill));
         }
@@ -109,24 +116,33 @@
     what.version.is_none_or(|v| endpoint.entry.version == *v)
 }
 
-/// Returns the endpoint that keeps a session's parts: the highest hash among all that may
+/// Returns the endpoints that keep a session's parts: the highest hashes among all that may
 /// serve it (rendezvous hashing; Thaler and Ravishankar, 1998).
-fn home_of(
+///
+/// A large fleet carries sessions that one endpoint cannot, and its entries learn late of each
+/// other's sends; there a session has several homes.
+fn homes_of(
     table: &EndpointTable,
     what: &Placement<'_>,
     prompt: &Prompt,
     now: Instant,
-) -> Option<EndpointKey> {
-    let session = prompt.parts.last()?;
+) -> Vec<EndpointKey> {
+    let Some(session) = prompt.parts.last() else {
+        return Vec::new();
+    };
     let weight = |endpoint: &Endpoint| {
         let id = endpoint.entry.id.as_str().as_bytes();
         xxhash_rust::xxh3::xxh3_64_with_seed(id, session.id.0)
     };
-    table
+    let mut ranked: Vec<(u64, EndpointKey)> = table
         .candidates(what.service, now)
         .filter(|(_, e)| has_version(e, what) && !e.load.is_avoided(now))
-        .max_by_key(|(_, e)| weight(e))
-        .map(|(key, _)| key)
+        .map(|(key, endpoint)| (weight(endpoint), key))
+        .collect();
+    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let homes = (1 + ranked.len() / ENDPOINTS_PER_HOME).min(MAX_HOMES);
+    ranked.truncate(homes);
+    ranked.into_iter().map(|(_, key)| key).collect()
 }
 
 fn is_full(endpoint: &Endpoint, what: &Placement<'_>) -> bool {
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -44,7 +44,6 @@
     source: Option<Source<E>>,
     splitter: EventSplitter,
     first: Option<Bytes>,
-    events_sent: bool,
     _in_flight: InFlight,
 }
 
@@ -77,7 +76,6 @@
             source: Some(Source { body, place }),
             splitter: EventSplitter::default(),
             first: None,
-            events_sent: false,
             _in_flight: in_flight,
         }
     }
@@ -98,12 +96,16 @@
     ///
     /// Returns [`BrokeOff`] when the stream cannot go on; it must not look complete then.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BrokeOff> {
-        let events = match self.first.take() {
-            Some(first) => Some(first),
-            None => self.read().await?,
-        };
-        self.events_sent = true;
-        Ok(events)
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        let events = self.read().await;
+        if let Err(BrokeOff(reason)) = &events {
+            let id = &self.attempts.request.call.id;
+            let last_event = self.attempts.last_event;
+            tracing::info!(event = "stream_broken", id, last_event, reason);
+        }
+        events
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, BrokeOff> {
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -56,7 +56,7 @@
         grace: Duration::from_secs(8),
         usage_window: Duration::from_secs(5),
         usage_due: Duration::from_secs(10),
-        contact: Duration::from_secs(3),
+        drain: Duration::from_secs(2),
         reports_usage: true,
         orders_endpoints: false,
     }
