endpoints: peers tell of endpoints that the list dropped

Ruled out: a wrong offset (the next read went on where it should). Peers told of draining endpoints only.

--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -21,6 +21,9 @@
 /// Longest time for which a missing entry's endpoint is still used.
 const MISSING_LIMIT: Duration = Duration::from_millis(1200);
 
+/// Time for which peers are told that an endpoint is no longer listed.
+const MISSING_TOLD: Duration = Duration::from_secs(10);
+
 /// Removed endpoints that are remembered.
 const MAX_REMOVED: usize = 1024;
 
@@ -60,6 +63,17 @@
     pub sequence: u64,
 }
 
+/// An endpoint that the list dropped, with the age of its last entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DroppedEndpoint {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// Start of its incarnation.
+    pub born: u64,
+    /// Number of its last entry.
+    pub sequence: u64,
+}
+
 /// An endpoint of the table.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -97,6 +111,8 @@
     arena: IndexMap<EndpointKey, Endpoint>,
     by_id: IndexMap<EndpointId, EndpointKey>,
     removed: IndexMap<EndpointId, (u64, u64)>,
+    /// Endpoints that the list dropped of late, with the age of their last entry.
+    dropped: IndexMap<EndpointId, ((u64, u64), Instant)>,
     next: u32,
     loaded: bool,
     outage_end: Option<Instant>,
@@ -160,6 +176,10 @@
         let back_by = self.outage_end.map_or(now, |end| end + RETURN_TIME);
         let gone_at = back_by.clamp(now, now + MISSING_LIMIT);
         endpoint.missing_at = Some(gone_at);
+        if gone_at == now {
+            let age = (endpoint.entry.born, endpoint.entry.sequence);
+            self.dropped.insert(id.clone(), (age, now));
+        }
         if gone_at > now {
             TableChange::None
         } else {
@@ -191,8 +211,36 @@
         !std::mem::replace(&mut endpoint.leaving, true)
     }
 
+    /// Returns the endpoints that the list dropped of late, for peers.
+    pub fn dropped(&self, now: Instant) -> Vec<DroppedEndpoint> {
+        let recent = self.dropped.iter();
+        recent
+            .filter(|(_, (_, at))| now.duration_since(*at) < MISSING_TOLD)
+            .map(|(id, ((born, sequence), _))| DroppedEndpoint {
+                id: id.clone(),
+                born: *born,
+                sequence: *sequence,
+            })
+            .collect()
+    }
+
+    /// Notes that a peer saw the list drop an endpoint; tells whether that was new.
+    pub fn note_dropped(&mut self, dropped: &DroppedEndpoint, now: Instant) -> bool {
+        let Some(endpoint) = self.by_id_mut(&dropped.id) else {
+            return false;
+        };
+        let age = (endpoint.entry.born, endpoint.entry.sequence);
+        if endpoint.missing_at.is_some() || age > (dropped.born, dropped.sequence) {
+            return false;
+        }
+        endpoint.missing_at = Some(now);
+        true
+    }
+
     /// Forgets endpoints that are gone and run nothing.
     pub fn sweep(&mut self, now: Instant) {
+        self.dropped
+            .retain(|_, (_, at)| now.duration_since(*at) < MISSING_TOLD);
         let gone: Vec<EndpointKey> = self
             .arena
             .iter()
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -170,6 +170,11 @@
     }
     drop(crashes);
     let mut endpoints = node.endpoints.lock();
+    for dropped in &state.dropped {
+        if endpoints.note_dropped(dropped, now) {
+            tracing::info!(event = "dropped_learnt", endpoint = %dropped.id, peer = %name);
+        }
+    }
     for id in &state.leaving {
         if endpoints.note_leaving(id) {
             tracing::info!(event = "leaving_learnt", endpoint = %id, peer = %name);
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -65,6 +65,7 @@
 pub use endpoint_load::Occupancy;
 pub use endpoint_load::PeerLoad;
 pub use endpoint_load::prefill_time;
+pub use endpoints::DroppedEndpoint;
 pub use endpoints::Endpoint;
 pub use endpoints::EndpointEntry;
 pub use endpoints::EndpointState;
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -10,6 +10,7 @@
 
 use crate::CustomerName;
 use crate::DomainName;
+use crate::DroppedEndpoint;
 use crate::EndpointId;
 use crate::EntryName;
 use crate::Fingerprint;
@@ -89,6 +90,8 @@
     pub crashes: Vec<(Fingerprint, EndpointId)>,
     /// Endpoints that leave.
     pub leaving: Vec<EndpointId>,
+    /// Endpoints that the list dropped of late.
+    pub dropped: Vec<DroppedEndpoint>,
 }
 
 /// Returns the time between states that an entry of a system of this size tells.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -278,6 +278,7 @@
             usage: self.usage.lock().newest(SHARED_WINDOWS),
             crashes: self.crashes.lock().to_share(SHARED_CRASHES),
             leaving,
+            dropped: self.endpoints.lock().dropped(Instant::now()),
         }
     }
 
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -107,3 +107,34 @@
     time.note_own(1_000_000 + 2_000 - 2_400, 2_000);
     assert!(time.at(3_000).abs_diff(1_003_000) < 50);
 }
+
+// Found by a hunt on Balatonszel (trouble-3 --seed 97970131606): an entry's long read of the list
+// was not answered when an endpoint was dropped, and no peer told it.
+#[tokio::test(start_paused = true)]
+async fn test_members_entry_learns_of_a_dropped_endpoint_from_a_peer() {
+    let kind = hawthornrack_entry::CallKind::Once;
+    let (told, telling) = (node(config(kind), 3), node(config(kind), 3));
+    let id = hawthornrack_entry::EndpointId::from("e1");
+    telling.endpoints.lock().remove(&id, Instant::now());
+    let mut state = telling.own_state();
+    state.name = EntryName::from("entry-2");
+    let exchange = Exchange {
+        own: state,
+        digest: IndexMap::new(),
+        has_endpoints: true,
+    };
+    answer(&told, exchange);
+    let service = hawthornrack_entry::ServiceName::from("desk");
+    let count = || {
+        told.endpoints
+            .lock()
+            .candidates(&service, Instant::now())
+            .count()
+    };
+    assert_eq!(count(), 2);
+    // Its own entry, newer than what the peer saw, brings it back.
+    let mut back = testutils::endpoint("e1");
+    back.sequence = 2;
+    told.endpoints.lock().apply(back);
+    assert_eq!(count(), 3);
+}
