--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -40,6 +40,9 @@
 /// Longest time between rounds.
 const ROUND_MOST: Duration = Duration::from_secs(1);
 
+/// Peers that an entry which ends tells its last state.
+const FAREWELL_PEERS: usize = 2;
+
 /// Peers in the own failure domain from which most rounds stay there.
 const DOMAIN_PEERS: usize = 4;
 
@@ -249,6 +252,22 @@
         }
     }
 
+    /// Tells some peers the newest state of an entry that ends.
+    ///
+    /// What the entry counted since its last round would be lost otherwise.
+    pub async fn say_farewell(&self, node: &Arc<Node>) {
+        node.renew_state();
+        let peers: Vec<(EntryName, SocketAddr)> = {
+            let members = node.members.lock();
+            let live = members.live(Instant::now());
+            let live = live.map(|p| (p.state.name.clone(), p.state.peer_address));
+            live.choose_multiple(&mut rand::rng(), FAREWELL_PEERS)
+        };
+        for (name, address) in peers {
+            self.exchange(node, Some(&name), address).await;
+        }
+    }
+
     /// Exchanges news with one peer.
     pub async fn exchange(&self, node: &Arc<Node>, name: Option<&EntryName>, address: SocketAddr) {
         let sent = BootTime::now();
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -34,7 +34,7 @@
 const SUSPECT_AFTER: Duration = Duration::from_secs(2);
 
 /// Silence after which an entry is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
+const FORGET_AFTER: Duration = Duration::from_secs(15);
 
 /// Entries that were forgotten and are remembered as such.
 const MAX_FORGOTTEN: usize = 1024;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -39,8 +39,8 @@
 /// Requests that crashed endpoints of which peers are told.
 const SHARED_CRASHES: usize = 8;
 
-/// Usage windows of which peers are told.
-const SHARED_WINDOWS: usize = 3;
+/// Usage windows of which peers are told beyond those that are not reported yet.
+const SHARED_WINDOWS: u64 = 2;
 
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
@@ -256,6 +256,11 @@
         }
     }
 
+    /// Has the state made anew that peers are told next.
+    pub fn renew_state(&self) {
+        *self.told.lock() = None;
+    }
+
     fn make_state(&self) -> EntryState {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let settings = &self.settings;
@@ -275,13 +280,20 @@
             shares,
             admitted: self.quotas.lock().own_totals(),
             prefilled: self.prefilled.lock().clone(),
-            usage: self.usage.lock().newest(SHARED_WINDOWS),
+            usage: self.usage.lock().newest(self.shared_windows()),
             crashes: self.crashes.lock().to_share(SHARED_CRASHES),
             leaving,
             dropped: self.endpoints.lock().dropped(Instant::now()),
         }
     }
 
+    /// Returns the number of usage windows that a holder may still report.
+    fn shared_windows(&self) -> usize {
+        let settle = crate::millis(self.settings.usage_due / 2);
+        let open = settle.div_ceil(crate::millis(self.settings.usage_window).max(1));
+        usize::try_from(open + SHARED_WINDOWS).unwrap_or(usize::MAX)
+    }
+
     fn own_endpoints(&self) -> (Vec<EndpointShare>, Vec<crate::EndpointId>) {
         let endpoints = self.endpoints.lock();
         let mut shares = Vec::new();
