--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -16,13 +16,13 @@
 use crate::WindowIndex;
 
 /// Time for which a record holds the lease, counted from before it was sent.
-pub const LEASE_TERM: Duration = Duration::from_secs(3);
+pub const LEASE_TERM: Duration = Duration::from_secs(2);
 
 /// Age of its last record at which a holder renews.
-pub const RENEW_AFTER: Duration = Duration::from_millis(1200);
+pub const RENEW_AFTER: Duration = Duration::from_millis(800);
 
 /// Time beyond the term for which a contender waits without seeing a record.
-pub const CONTEND_SLACK: Duration = Duration::from_millis(500);
+pub const CONTEND_SLACK: Duration = Duration::from_millis(300);
 
 /// Lease as entries tell each other of it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
