members: a relayed state is as old as its news

Traced from the code: each relay of the last state counted as a sign of life, so that a chain of relays kept it alive for 2.6 s a hop. States now carry the time since they were news. test_members_relayed_state_is_as_old_as_its_news replays the chain.

--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -27,6 +27,7 @@
 use crate::EntryState;
 use crate::Node;
 use crate::PeerLoad;
+use crate::RelayedState;
 use crate::StateAge;
 use crate::log_limit;
 use crate::wall_millis;
@@ -70,7 +71,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct News {
     /// States that are newer than the digest.
-    pub states: Vec<EntryState>,
+    pub states: Vec<RelayedState>,
     /// Configuration, if it is newer than the asking entry's.
     pub config: Option<Config>,
     /// List of endpoints, if the asking entry knows none.
@@ -108,8 +109,11 @@
     } = exchange;
     let config = node.config().filter(|c| c.version > own.config);
     let mut states = node.members.lock().newer_than(&digest, now);
-    states.retain(|s| s.name != own.name);
-    states.push(node.own_state());
+    states.retain(|s| s.state.name != own.name);
+    states.push(RelayedState {
+        state: node.own_state(),
+        silent_ms: 0,
+    });
     merge(node, &own, now);
     refresh(node);
     News {
@@ -139,7 +143,7 @@
         }
     }
     for state in news.states {
-        merge(node, &state, now);
+        merge(node, &state.state, state.heard(now));
     }
     refresh(node);
 }
@@ -153,15 +157,17 @@
         .then(|| known.map(|(_, e)| e.entry.clone()).collect())
 }
 
-fn merge(node: &Node, state: &EntryState, now: Instant) {
+/// Takes over a state that was news at `heard`.
+fn merge(node: &Node, state: &EntryState, heard: Instant) {
     if state.name == node.settings.name {
         return;
     }
     let name = state.name.clone();
-    if !node.members.lock().merge(state.clone(), now) {
+    if !node.members.lock().merge(state.clone(), heard) {
         return;
     }
-    node.quotas.lock().note_peer(&name, &state.admitted, now);
+    let now = Instant::now();
+    node.quotas.lock().note_peer(&name, &state.admitted, heard);
     if let Some(view) = &state.lease {
         node.lease.lock().note_peer(view, BootTime::now());
     }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -103,6 +103,7 @@
 pub use members::EntryState;
 pub use members::Members;
 pub use members::Peer;
+pub use members::RelayedState;
 pub use members::StateAge;
 pub use members::refresh_interval;
 pub use metrics::Metrics;
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -101,6 +101,23 @@
     interval.clamp(REFRESH_LEAST, REFRESH_MOST)
 }
 
+/// A state that is passed on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayedState {
+    /// State of an entry.
+    pub state: EntryState,
+    /// Time since it was news, in milliseconds; each relay adds the time that it kept it.
+    pub silent_ms: u64,
+}
+
+impl RelayedState {
+    /// Returns the time at which the state was news.
+    pub fn heard(&self, now: Instant) -> Instant {
+        let silent = Duration::from_millis(self.silent_ms);
+        now.checked_sub(silent).unwrap_or(now)
+    }
+}
+
 /// A peer as this entry sees it.
 #[derive(Debug)]
 pub struct Peer {
@@ -121,15 +138,15 @@
 }
 
 impl Members {
-    /// Takes over a peer's state if it is newer and tells whether it was.
-    pub fn merge(&mut self, state: EntryState, now: Instant) -> bool {
+    /// Takes over a peer's state that was news at `heard`, if it is newer; tells whether it was.
+    pub fn merge(&mut self, state: EntryState, heard: Instant) -> bool {
         match self.peers.get_mut(&state.name) {
             Some(peer) if peer.state.age >= state.age => false,
             Some(peer) => {
                 if peer.state.age.incarnation != state.age.incarnation {
                     self.retired.merge(&peer.state.usage);
                 }
-                *peer = Peer { state, heard: now };
+                *peer = Peer { state, heard };
                 true
             }
             None => {
@@ -140,8 +157,7 @@
                 {
                     return false;
                 }
-                self.peers
-                    .insert(state.name.clone(), Peer { state, heard: now });
+                self.peers.insert(state.name.clone(), Peer { state, heard });
                 true
             }
         }
@@ -160,14 +176,18 @@
         &self,
         digest: &IndexMap<EntryName, StateAge>,
         now: Instant,
-    ) -> Vec<EntryState> {
+    ) -> Vec<RelayedState> {
         let newer = |p: &&Peer| {
             digest
                 .get(&p.state.name)
                 .is_none_or(|age| *age < p.state.age)
         };
         let peers = self.live(now).filter(newer);
-        peers.map(|p| p.state.clone()).collect()
+        let relayed = |p: &Peer| RelayedState {
+            state: p.state.clone(),
+            silent_ms: crate::millis(now.duration_since(p.heard)),
+        };
+        peers.map(relayed).collect()
     }
 
     /// Removes and returns the entries that have been silent for long.
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -179,7 +179,7 @@
     let sent = at(1_000);
     lease.note_own(record("a"), 4, sent);
     let end = BootTime(sent.0 + LEASE_TERM);
-    let before = BootTime(end.0 - Duration::from_millis(1));
+    let before = BootTime(end.0.saturating_sub(Duration::from_millis(1)));
     assert_eq!(lease.token(before), Some(FencingToken(5)));
     assert_eq!(lease.token(end), None, "the clock counts suspended time");
 }
@@ -209,7 +209,7 @@
         lease.note_peer(&view, at(1_000 + ms));
     }
     let end = BootTime(at(1_000).0 + LEASE_TERM + CONTEND_SLACK);
-    let before = BootTime(end.0 - Duration::from_millis(1));
+    let before = BootTime(end.0.saturating_sub(Duration::from_millis(1)));
     assert!(!lease.is_vacant(before));
     assert!(lease.is_vacant(end));
     // Reading the records that were told of is no news either.
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -58,6 +58,25 @@
     assert!(news.is_empty());
 }
 
+// Found by a drawn day of Kanem (fresh-08e7): an entry that had been gone for 6 s was named to
+// callers, since each relay of its last state took that for a sign of life.
+#[tokio::test(start_paused = true)]
+async fn test_members_relayed_state_is_as_old_as_its_news() {
+    let digest = IndexMap::new();
+    let mut chain: Vec<Members> = (0..4).map(|_| Members::default()).collect();
+    chain[0].merge(state("b", 1), Instant::now());
+    for at in 1..chain.len() {
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let now = Instant::now();
+        for relayed in chain[at - 1].newer_than(&digest, now) {
+            let heard = relayed.heard(now);
+            chain[at].merge(relayed.state, heard);
+        }
+    }
+    let now = Instant::now();
+    assert!(chain.iter().all(|members| members.live(now).count() == 0));
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_members_exchange_passes_configuration_and_endpoints_on() {
     let knowing = node(config(hawthornrack_entry::CallKind::Once), 3);
