--- a/programs/tests/test_moves.rs
+++ b/programs/tests/test_moves.rs
@@ -41,6 +41,9 @@
 /// Slow answers by which slowness has shown; good versions have slow answers now and then.
 const SLOW_SHOWN: usize = 6;
 
+/// Pause between two looks at the answers so far.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
 /// Latency from which an answer of the service counts as slow to its callers.
 const SLOW: Duration = Duration::from_millis(150);
 
@@ -128,14 +131,24 @@
 }
 
 /// Checks that the new version gets nothing from [`STOP_LIMIT`] after its badness has shown.
+///
+/// A version may be stopped on fewer than `count` bad answers, and then no more come; it must
+/// have been stopped by `limit` in that case.
 async fn check_stopped(deployment: &Deployment, load: &Load, count: usize, limit: Duration) {
-    let mut shown = None;
-    wait_until("the badness shows", limit, async || {
-        shown = load.time_of(count, is_bad);
-        shown.is_some()
-    })
-    .await;
-    let stop_by = shown.unwrap() + STOP_LIMIT;
+    let limit_at = Instant::now() + limit;
+    let shown = loop {
+        let shown = load.time_of(count, is_bad);
+        if shown.is_some() || Instant::now() >= limit_at {
+            break shown;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    };
+    if shown.is_none() {
+        let bad = load.samples().iter().filter(|s| is_bad(s)).count();
+        println!("{bad} of {count} bad answers by the limit: stopped before");
+        assert!(bad > 0, "no bad answer within {limit:?}");
+    }
+    let stop_by = shown.map_or(limit_at, |at| at + STOP_LIMIT);
     tokio::time::sleep_until(stop_by.into()).await;
     let before = runs(deployment, ["new-1", "new-2"]).await;
     let begun = Instant::now();
--- a/programs/tests/testutils/moves.rs
+++ b/programs/tests/testutils/moves.rs
@@ -15,12 +15,17 @@
 use hawthornrack_lib::millis;
 use hawthornrack_lib::operator_proto as proto;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tonic::Code;
 
 use super::deployment::Deployment;
 use super::deployment::operator;
 use super::deployment::revision;
 use super::deployment::with_token;
 
+/// Time within which a move that one entry accepted is known at every other.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Returns the wall time.
 pub fn wall_now() -> Timestamp {
     Timestamp(millis(
@@ -60,8 +65,18 @@
             .await
             .unwrap();
         let name = name.to_string();
-        let request = with_token(proto::WatchMoveRequest { name });
-        let mut stream = client.watch_move(request).await.unwrap().into_inner();
+        let end = Instant::now() + IN_FORCE_LIMIT;
+        let mut stream = loop {
+            let request = with_token(proto::WatchMoveRequest { name: name.clone() });
+            match client.watch_move(request).await {
+                Ok(reply) => break reply.into_inner(),
+                // The move may have been accepted at another entry a moment ago.
+                Err(status) if status.code() == Code::NotFound && Instant::now() < end => {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                Err(status) => panic!("the watch is refused: {status}"),
+            }
+        };
         Self(tokio::spawn(async move {
             let mut ends = Vec::new();
             while let Ok(Some(message)) = stream.message().await {
