routing: an endpoint that was not reached costs no retry

With two of four endpoints down a call takes 0.67 on average until probes take them out, so that ten calls now and then used up what there was.

Ruled out: too few attempts (3, and no more than 2 endpoints were down); choosing a tried endpoint again (excluded); load (the new test fails alone).

Now a send that reached no endpoint is repeated without taking from the budget; attempts stay limited to 3. The budget bounds what endpoints have to do, and these did nothing.

--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -62,7 +62,9 @@
             tried.push(endpoint.name);
         }
         let may_retry = failed.is_unsent() || call.is_repeatable();
-        if !may_retry || failures >= MAX_ATTEMPTS || !gate.budget.spend(&call.service.name) {
+        // An endpoint that was not reached has done no work, so that another may be tried freely.
+        let is_allowed = failed.is_unsent() || gate.budget.spend(&call.service.name);
+        if !may_retry || failures >= MAX_ATTEMPTS || !is_allowed {
             check_crashes(gate, &call)?;
             return Err(last);
         }
--- a/programs/tests/test_answers.rs
+++ b/programs/tests/test_answers.rs
@@ -217,6 +217,31 @@
     assert_eq!(runs(&site, &live).await.runs, 10);
 }
 
+#[tokio::test]
+async fn test_answers_refused_connections_use_up_no_retries() {
+    let mut site = Site::start().await;
+    let mut endpoints = Vec::new();
+    for number in 0..4 {
+        let endpoint = Process::lab("plain", &[]);
+        site.add_endpoint("booking", &format!("p{number}"), endpoint.http())
+            .await;
+        endpoints.push(endpoint);
+    }
+    let gate = site.add_gate("d1").await;
+    for dead in &mut endpoints[..2] {
+        dead.kill();
+    }
+    // All at once, before a probe can take the dead endpoints out.
+    let calls = (0..80).map(|number| {
+        let call = Call::post("/booking/stock", &json!({"number": number})).bearer(TOKEN);
+        site.http.send(gate, call)
+    });
+    for answer in futures_util::future::join_all(calls).await {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
 #[rstest]
 #[case::model("tutor", "engine")]
 #[case::plain("booking", "plain")]
