--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -32,6 +32,8 @@
 use crate::Versions;
 use crate::WHOLE_SHARE;
 use crate::choose;
+use crate::connection::ONCE_IDLE_LIMIT;
+use crate::log_limit;
 use crate::prefill_time;
 
 /// Part of the objective for which a request may wait for a place.
@@ -223,8 +225,12 @@
             }
             let freed = node.freed.notified();
             match self.choose(node, now) {
-                Ok(place) => return Ok(place),
+                Ok(place) => {
+                    self.log_placed(&place);
+                    return Ok(place);
+                }
                 Err(Choice::Full(wait)) if now >= patience || self.sends > 0 => {
+                    self.log_unplaced(node, Some(wait));
                     let after = wait.max(RETRY_AFTER_FULL);
                     return Err(self.final_refusal(RefusalKind::Overloaded, Some(after)));
                 }
@@ -233,6 +239,7 @@
                     let _ = tokio::time::timeout_at(patience, freed).await;
                 }
                 Err(_) => {
+                    self.log_unplaced(node, None);
                     let after = Some(RETRY_AFTER_ENDPOINT);
                     return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
                 }
@@ -240,6 +247,46 @@
         }
     }
 
+    /// Writes down where the request goes; repeats always.
+    fn log_placed(&self, place: &Place) {
+        if self.sends == 0 && !log_limit::allows("placed") {
+            return;
+        }
+        tracing::info!(
+            event = "placed",
+            id = self.request.call.id,
+            service = %self.service,
+            endpoint = %place.endpoint,
+            side = ?place.side,
+            prefill = place.occupancy.prefill,
+            sends = self.sends,
+            last_event = self.last_event,
+            config = self.request.config.version,
+        );
+    }
+
+    /// Writes down what the request could choose from; `wait` is the shortest expected one.
+    fn log_unplaced(&self, node: &Node, wait: Option<Duration>) {
+        let now = Instant::now();
+        let endpoints = node.endpoints.lock();
+        let known = || endpoints.candidates(&self.service, now);
+        let running: u32 = known().map(|(_, e)| e.load.running()).sum();
+        let slots: u32 = known().map(|(_, e)| e.entry.slots).sum();
+        tracing::info!(
+            event = "unplaced",
+            id = self.request.call.id,
+            service = %self.service,
+            endpoints = known().count(),
+            avoided = known().filter(|(_, e)| e.load.is_avoided(now)).count(),
+            running,
+            slots,
+            sends = self.sends,
+            wait_ms = wait.map(crate::millis),
+            left_ms = crate::millis(self.request.deadline.saturating_duration_since(now)),
+            config = self.request.config.version,
+        );
+    }
+
     /// Takes a place on the versions that the service's rollout gives the request.
     fn choose(&mut self, node: &Arc<Node>, now: Instant) -> Result<Place, Choice> {
         let is_repeat = self.sends > 0;
@@ -364,7 +411,11 @@
             budget: left,
             priority: request.call.prompt.as_ref().map(|_| request.priority),
             last_event: self.last_event,
-            fresh: !request.route.kind.may_repeat(),
+            max_idle: if request.route.kind.may_repeat() {
+                Duration::MAX
+            } else {
+                ONCE_IDLE_LIMIT
+            },
             stream: request.route.kind.is_stream(),
         };
         let answer = tokio::time::timeout(limit, edge.send(send)).await;
--- a/platform/src/connection.rs
+++ b/entry/src/connection.rs
@@ -1,4 +1,5 @@
-//! HTTP/1 connections to endpoints and to the platform, one request at a time on each.
+//! HTTP/1 connections to endpoints and to the platform, one request at a time on each, and
+//! for how long they may be idle.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::SendFailure;
+
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -26,6 +29,16 @@
 /// Time between probes of a silent connection, and before the first.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a connection may be idle where the server states none.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time before a server's own time-out at which its connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Idle time of a connection that a request which may run only once still uses: the server
+/// may be closing it, and a request that crosses the close may have run.
+pub(crate) const ONCE_IDLE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Idle connections kept for one server.
 const MAX_IDLE: usize = 16;
 
@@ -38,6 +51,15 @@
     MaybeWritten(String),
 }
 
+impl From<ExchangeError> for SendFailure {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotWritten(reason) => Self::NotWritten(reason),
+            ExchangeError::MaybeWritten(reason) => Self::MayHaveRun(reason),
+        }
+    }
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -109,6 +131,11 @@
     }
 }
 
+/// Returns the time for which a connection may be idle, given its server's own time-out.
+pub fn idle_limit(stated: Option<Duration>) -> Duration {
+    stated.map_or(IDLE_LIMIT, |stated| stated.saturating_sub(IDLE_MARGIN))
+}
+
 /// Sets what shows a connection that has gone silent.
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/entry/src/endpoint_edge.rs
+++ b/entry/src/endpoint_edge.rs
@@ -28,8 +28,8 @@
     pub priority: Option<u8>,
     /// Last event that is not wanted again.
     pub last_event: Option<u64>,
-    /// Whether only a connection may be used that is new or was used a moment ago.
-    pub fresh: bool,
+    /// Time for which a connection that is used again may have been idle.
+    pub max_idle: Duration,
     /// Whether the answer is passed on while it is made.
     pub stream: bool,
 }
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -14,8 +14,14 @@
 use crate::RolloutOrder;
 use crate::TableChange;
 
-/// Time for which a read waits for the first update.
-const READ_WAIT: Duration = Duration::from_secs(5);
+/// Time for which a read waits for the first update in a small system.
+const WAIT_LEAST: Duration = Duration::from_secs(5);
+
+/// Waiting time for each entry that reads, so that all together make few calls.
+const WAIT_PER_ENTRY: Duration = Duration::from_millis(170);
+
+/// Longest time for which a read waits: a connection may have gone silent meanwhile.
+const WAIT_MOST: Duration = Duration::from_secs(15);
 
 /// Pause after a read in a small system, so that updates are read in batches.
 const BATCH_LEAST: Duration = Duration::from_millis(400);
@@ -24,7 +30,7 @@
 const BATCH_PER_ENTRY: Duration = Duration::from_millis(50);
 
 /// Longest pause as a part of the time that endpoints which leave still serve.
-const BATCH_SHARE: f64 = 0.45;
+const BATCH_SHARE: f64 = 0.55;
 
 /// Pause after a failed call; doubles with each failure in a row.
 const BACKOFF_LEAST: Duration = Duration::from_millis(100);
@@ -150,7 +156,7 @@
         replace(node, feed, whole.list);
         return Ok(Some(whole.next));
     };
-    let Some(updates) = edge.read(feed, from, READ_WAIT).await? else {
+    let Some(updates) = edge.read(feed, from, read_wait(node)).await? else {
         tracing::info!(event = "history_gone", ?feed, from);
         return Ok(None);
     };
@@ -168,6 +174,13 @@
     Ok(Some(updates.next))
 }
 
+/// Returns the time for which a read waits for the first update.
+fn read_wait(node: &Node) -> Duration {
+    let entries = u32::try_from(node.entry_count()).unwrap_or(u32::MAX);
+    let wait = WAIT_PER_ENTRY.saturating_mul(entries);
+    wait.clamp(WAIT_LEAST, WAIT_MOST)
+}
+
 /// Returns the pause after a read that brought updates.
 fn batch_pause(node: &Node, feed: Feed) -> Duration {
     match feed {
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -179,10 +179,8 @@
     ) -> IndexMap<DomainName, u32> {
         let required = ((needed * REQUIRED_SHARE).ceil() as u32).max(1);
         let ready: u32 = fleet.values().map(|f| f.spot).sum();
-        let largest = fleet.values().map(|f| f.spot).max().unwrap_or_default();
-        // Without replacements to be had, the loss of one more domain must be borne as well.
-        let at_risk = if self.is_refused(now) { largest } else { 0 };
-        let surely = ready - at_risk;
+        // Without replacements to be had, all domains may be lost before others could start.
+        let surely = if self.is_refused(now) { 0 } else { ready };
         let starting = self.starting(scaling, fleet, spot, now);
         let least = required.saturating_sub(surely + starting);
         let most = required.saturating_sub(surely);
--- a/entry/src/quota.rs
+++ b/entry/src/quota.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns the units that a customer had left when it was last looked at.
+    pub fn left(&self, customer: &CustomerName) -> Option<f64> {
+        self.buckets.get(customer).map(|bucket| bucket.level)
+    }
+
     /// Returns what this entry admitted of each customer since its start.
     pub fn own_totals(&self) -> IndexMap<CustomerName, f64> {
         let buckets = self.buckets.iter();
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -156,14 +156,25 @@
 
 fn charge(node: &Node, customer: &Customer, call: &Call, now: Instant) -> Result<(), Refusal> {
     let units = units(call, customer.quota.unit);
-    let admission = node
-        .quotas
-        .lock()
-        .admit(&customer.name, customer.quota, units, now);
-    match admission {
-        Admission::Admitted => Ok(()),
-        Admission::Over(wait) => Err(Refusal::after(RefusalKind::OverQuota, wait)),
-    }
+    let mut quotas = node.quotas.lock();
+    let admission = quotas.admit(&customer.name, customer.quota, units, now);
+    let left = quotas.left(&customer.name);
+    drop(quotas);
+    let Admission::Over(wait) = admission else {
+        return Ok(());
+    };
+    tracing::info!(
+        event = "over_quota",
+        id = call.id,
+        customer = %customer.name,
+        units,
+        left,
+        rate = customer.quota.rate,
+        burst = customer.quota.burst,
+        entries = node.entry_count(),
+        wait_ms = crate::millis(wait),
+    );
+    Err(Refusal::after(RefusalKind::OverQuota, wait))
 }
 
 async fn run<E: EndpointEdge>(node: &Arc<Node>, edge: &Arc<E>, admitted: Admitted) -> Reply<E> {
--- a/entry/tests/test_fleet.rs
+++ b/entry/tests/test_fleet.rs
@@ -192,3 +192,16 @@
     let spot: u32 = orders.iter().filter(|o| o.spot).map(|o| o.count).sum();
     assert!(spot >= 60, "{orders:?}");
 }
+
+// Replays the quiet day of the grown Kanem: all domains are reclaimed within eight seconds,
+// while an endpoint takes four to start.
+#[tokio::test(start_paused = true)]
+async fn test_fleet_holds_a_reserve_once_replacements_are_refused() {
+    let mut world = World::new(3);
+    world.play(Duration::from_secs(20)).await;
+    for (domain, pause) in DOMAINS.iter().zip([4_800, 1_200, 1_500, 0]) {
+        world.reclaim(domain);
+        world.play(Duration::from_millis(pause)).await;
+    }
+    assert!(world.total() >= 6, "{:?}", world.fleet);
+}
