--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -15,7 +15,6 @@
 use crate::CustomerName;
 use crate::Dispatch;
 use crate::EndpointEdge;
-use crate::EndpointId;
 use crate::EndpointKey;
 use crate::Fingerprint;
 use crate::Node;
@@ -34,6 +33,7 @@
 use crate::choose;
 use crate::connection::ONCE_IDLE_LIMIT;
 use crate::log_limit;
+use crate::place::Place;
 use crate::prefill_time;
 
 /// Part of the objective for which a request may wait for a place.
@@ -82,87 +82,6 @@
     pub(crate) last_event: Option<u64>,
 }
 
-/// Place that a request takes at an endpoint until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Place {
-    node: Arc<Node>,
-    pub(crate) key: EndpointKey,
-    pub(crate) endpoint: EndpointId,
-    address: std::net::SocketAddr,
-    occupancy: Occupancy,
-    service: ServiceName,
-    route: String,
-    /// Most tokens of the answer.
-    tokens: Option<u32>,
-    /// Side of an open rollout that the endpoint is on.
-    side: Option<VersionSide>,
-    pub(crate) begun: Instant,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
-            endpoint.load.end(self.occupancy);
-        }
-        self.node.freed.notify_waiters();
-    }
-}
-
-impl Place {
-    /// Notes a good answer.
-    pub(crate) fn note_success(&self, now: Instant) {
-        let took = now.duration_since(self.begun);
-        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
-            endpoint.load.note_success(took);
-        }
-        self.note_trial(|sample| sample.note_answer(took));
-        let mut paces = self.node.paces.lock();
-        let pace = paces.entry(self.service.clone()).or_default();
-        pace.note(&self.route, self.tokens, took);
-    }
-
-    /// Notes a failure that the endpoint answered.
-    pub(crate) fn note_bad_answer(&self) {
-        self.note_failure();
-        self.note_trial(|sample| sample.failed += 1);
-    }
-
-    /// Notes that the endpoint broke off or stayed silent.
-    pub(crate) fn note_broken(&self, now: Instant) {
-        self.note_trouble(now);
-        self.note_trial(|sample| sample.failed += 1);
-    }
-
-    fn note_trial(&self, note: impl FnOnce(&mut crate::Sample)) {
-        let Some(side) = self.side else {
-            return;
-        };
-        let mut rollouts = self.node.rollouts.lock();
-        if let Some(evidence) = rollouts.evidence_mut(&self.service) {
-            note(evidence.side_mut(&self.route, side));
-        }
-    }
-
-    /// Notes an answer that is the endpoint's failure.
-    fn note_failure(&self) {
-        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
-            endpoint.load.note_failure();
-        }
-    }
-
-    /// Notes that the endpoint could not be reached, broke off or stayed silent.
-    fn note_trouble(&self, now: Instant) {
-        if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
-            endpoint.load.note_trouble(now);
-        }
-    }
-
-    /// Notes that the endpoint takes no more requests.
-    pub(crate) fn note_leaving(&self) {
-        self.node.endpoints.lock().note_leaving(&self.endpoint);
-    }
-}
-
 impl Attempts {
     /// Begins a request on one of its route's services.
     pub(crate) fn new(request: Admitted) -> Self {
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod node;
 mod pace;
 mod peer_search;
+mod place;
 mod placement;
 mod quota;
 mod rate_window;
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::Node;
 use crate::SendFailure;
 use crate::attempt::Attempts;
-use crate::attempt::Place;
+use crate::place::Place;
 
 /// Multiple of the longest pause after which a resumable stream goes on elsewhere.
 const PAUSE_FACTOR: u32 = 3;
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -22,8 +22,8 @@
 use crate::Route;
 use crate::attempt::Admitted;
 use crate::attempt::Attempts;
-use crate::attempt::Place;
 use crate::log_limit;
+use crate::place::Place;
 
 /// Time after which callers may come back while no configuration is known.
 const RETRY_AFTER_START: Duration = Duration::from_millis(700);
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -140,22 +140,30 @@
     node
 }
 
-#[rstest]
-#[tokio::test]
-async fn test_duty_reports_of_a_window_never_differ(#[values(1, 2, 3)] seed: u64) {
-    let platform = Arc::new(Mutex::new(Platform::default()));
-    let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
-    let mut entries = Vec::new();
-    for name in ["a", "b", "c"] {
+/// Three entries with their duties; one in five answers is lost.
+fn three_entries(
+    platform: &Arc<Mutex<Platform>>,
+    rng: &Arc<Mutex<SmallRng>>,
+) -> Vec<(Arc<Node>, Duties<Edge>)> {
+    let with_duties = |name: &str| {
         let node = entry(name);
         let edge = Edge {
-            platform: Arc::clone(&platform),
+            platform: Arc::clone(platform),
             holder: name.to_owned(),
-            rng: Arc::clone(&rng),
+            rng: Arc::clone(rng),
             lost: 0.2,
         };
-        entries.push((Arc::clone(&node), Duties::new(node, edge)));
-    }
+        (Arc::clone(&node), Duties::new(node, edge))
+    };
+    ["a", "b", "c"].map(with_duties).into()
+}
+
+#[rstest]
+#[tokio::test]
+async fn test_duty_reports_of_a_window_never_differ(#[values(1, 2, 3)] seed: u64) {
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
+    let mut entries = three_entries(&platform, &rng);
     let customer = CustomerName::from("kanem");
     for _ in 0..600 {
         let at = rng.lock().random_range(0..entries.len());
@@ -192,22 +200,14 @@
 async fn test_duty_rollout_only_goes_forward(#[values(1, 2, 3)] seed: u64) {
     let platform = Arc::new(Mutex::new(Platform::default()));
     let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
-    let mut entries = Vec::new();
-    for name in ["a", "b", "c"] {
-        let node = entry(name);
+    let mut entries = three_entries(&platform, &rng);
+    for (node, _) in &entries {
         node.note_rollout(RolloutOrder {
             id: 3,
             service: ServiceName::from("desk"),
             target: VersionName::from("v2"),
             within: Duration::from_secs(2),
         });
-        let edge = Edge {
-            platform: Arc::clone(&platform),
-            holder: name.to_owned(),
-            rng: Arc::clone(&rng),
-            lost: 0.2,
-        };
-        entries.push((Arc::clone(&node), Duties::new(node, edge)));
     }
     for round in 0..600 {
         if round == 200 {
