duties: a report is sent only once a record of the stream holds it

Cause, from the code: a holder that made up a report and whose append was refused, or turned out not to be done, forgot on the next look that the report was in no record, and sent it. The next holder did not find it and sent its own. Ruled out: the stand-in's missing check of fencing tokens (the first report was sent under a valid lease); the rollouts' new field in the records.

--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -132,6 +132,8 @@
     reports: Vec<UsageReport>,
     /// Newest window whose report is fixed.
     fixed: Option<WindowIndex>,
+    /// Whether reports were made up that no record of the stream is known to hold.
+    is_unwritten: bool,
     /// An append whose outcome is unknown: the record and when it was sent.
     unknown: Option<(LeaseRecord, BootTime)>,
     fleet: FleetKeeper,
@@ -146,6 +148,7 @@
             edge,
             reports: Vec::new(),
             fixed: None,
+            is_unwritten: false,
             unknown: None,
             fleet: FleetKeeper::default(),
             rollouts: RolloutKeeper::default(),
@@ -182,10 +185,10 @@
     }
 
     async fn act(&mut self, token: FencingToken, now: BootTime) {
-        let due = self.fix_due_reports();
+        self.is_unwritten |= self.fix_due_reports();
         let renew = self.node.lease.lock().wants_renewal(now);
         let stages = self.rollouts.due(&self.node, Instant::now());
-        if due || renew || !stages.is_empty() {
+        if self.is_unwritten || renew || !stages.is_empty() {
             let term = self.node.lease.lock().term(now);
             let record = self.record(term, false, &stages);
             if !self.append(record).await {
@@ -334,6 +337,7 @@
         self.node.lease.lock().drop_own();
         self.reports.clear();
         self.fixed = None;
+        self.is_unwritten = false;
     }
 
     async fn contend(&mut self, now: BootTime) {
@@ -420,6 +424,7 @@
         match self.edge.append_lease(&record, end).await {
             Ok(Appended::At(offset)) => {
                 self.node.lease.lock().note_own(record, offset, sent);
+                self.is_unwritten = false;
                 true
             }
             Ok(Appended::Conflict(other)) => {
@@ -456,6 +461,7 @@
         if read.records.first() == Some(&record) && read.end == from + 1 {
             self.put_in_force(&record.rollouts);
             self.node.lease.lock().note_own(record, from, sent);
+            self.is_unwritten = false;
         } else {
             self.give_up_term();
             let now = BootTime::now();
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -56,6 +56,8 @@
     rng: Arc<Mutex<SmallRng>>,
     /// Share of the calls whose answer is lost after they took effect.
     lost: f64,
+    /// Share of the appends that the stream refuses.
+    refused: f64,
 }
 
 impl Edge {
@@ -77,6 +79,9 @@
     }
 
     async fn append_lease(&self, record: &LeaseRecord, end: u64) -> Result<Appended, DutyError> {
+        if self.rng.lock().random_bool(self.refused) {
+            return Err(DutyError::Refused("refused".to_owned()));
+        }
         let mut platform = self.platform.lock();
         let at = platform.stream.len() as u64;
         if at != end {
@@ -98,6 +103,10 @@
             return Err(DutyError::Fenced);
         }
         platform.newest = token.0;
+        // Found by a soak (seed 11877697599049011824): a report whose record was refused was
+        // sent all the same, and the next holder sent another.
+        let mut fixed = platform.stream.iter().flat_map(|r| &r.reports);
+        assert!(fixed.any(|f| f == report), "sent before it was fixed");
         let known = platform
             .tokens
             .entry(token.0)
@@ -140,7 +149,7 @@
     node
 }
 
-/// Three entries with their duties; one in five answers is lost.
+/// Three entries with their duties; one in five answers is lost, one in five appends refused.
 fn three_entries(
     platform: &Arc<Mutex<Platform>>,
     rng: &Arc<Mutex<SmallRng>>,
@@ -152,6 +161,7 @@
             holder: name.to_owned(),
             rng: Arc::clone(rng),
             lost: 0.2,
+            refused: 0.2,
         };
         (Arc::clone(&node), Duties::new(node, edge))
     };
