duty: lease across lost history and eras of the store; usage delivered to the holder

An entry that had read no record took the stream for one without a holder and acquired the lease at once.

The store may come back from an older copy: its era rises, offsets are given out again. Fencing tokens now carry the era, so that they never go back; what is known of an earlier era is void; the former holder continues with its own state, everyone else waits until its term has expired and skips windows that may have been reported. Feeds start over, announcements and statuses are written again, an order that is written again keeps its stage, responses of an earlier era are dropped.

--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -10,15 +10,19 @@
 use tokio::time::Instant;
 
 use crate::BootTime;
+use crate::EntryName;
 use crate::FencingToken;
 use crate::FleetAutoscaler;
 use crate::FleetOrder;
+use crate::LeaseRead;
 use crate::LeaseRecord;
 use crate::Node;
 use crate::Rollout;
 use crate::RolloutDriver;
 use crate::RolloutStatus;
 use crate::ServiceName;
+use crate::StoreEra;
+use crate::Succession;
 use crate::UsageCounts;
 use crate::UsageReport;
 use crate::WindowIndex;
@@ -33,12 +37,22 @@
 /// Time after the end of a window before its counts are final at the holder, in addition to
 /// [`USAGE_PROPAGATION_REFRESHES`] refresh intervals.
 ///
-/// The sum is limited to half of [`usage_due`](crate::EntrySettings::usage_due).
+/// The sum is limited to half of [`usage_due`](crate::EntrySettings::usage_due); by then the entries
+/// have delivered their counts directly.
 const USAGE_FINALIZATION_DELAY: Duration = Duration::from_millis(1800);
 
 /// Number of refresh intervals within which the counts of an entry reach the holder.
 const USAGE_PROPAGATION_REFRESHES: u32 = 3;
 
+/// Number of entries that contend for the lease at the same time.
+const CONTENDERS_PER_STEP: usize = 4;
+
+/// Time without news of the lease after which the next entries contend, too.
+const CONTENDER_STEP: Duration = Duration::from_secs(4);
+
+/// Maximum time without news of the lease after which every entry contends.
+const MAX_CONTENDER_DELAY: Duration = Duration::from_secs(16);
+
 /// Maximum number of past windows for which reports are created; older ones are skipped.
 const MAX_REPORT_WINDOWS: u64 = 5;
 
@@ -64,15 +78,6 @@
     Conflict(u64),
 }
 
-/// Records read from the lease stream.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct LeaseRead {
-    /// Records in stream order.
-    pub records: Vec<LeaseRecord>,
-    /// Offset after the last record of the stream.
-    pub end: u64,
-}
-
 /// Result of reading the published status of a rollout.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StatusRead {
@@ -84,6 +89,9 @@
 
 /// Platform operations that the duties need.
 pub trait DutyClient: Send + Sync + 'static {
+    /// Returns the newest era of the store that any of its responses has named.
+    fn store_era(&self) -> StoreEra;
+
     /// Reads the lease stream from an offset to its end.
     ///
     /// # Errors
@@ -161,6 +169,8 @@
     pending_append: Option<(LeaseRecord, BootTime)>,
     fleet: FleetAutoscaler,
     rollouts: RolloutDriver,
+    /// Era of the store in which the duties were last performed or contended for.
+    era: StoreEra,
 }
 
 impl<D: DutyClient> Duties<D> {
@@ -175,6 +185,7 @@
             pending_append: None,
             fleet: FleetAutoscaler::default(),
             rollouts: RolloutDriver::default(),
+            era: StoreEra::default(),
         }
     }
 
@@ -206,6 +217,7 @@
             return;
         }
         let now = BootTime::now();
+        self.enter_era(now);
         let token = self.node.lease.lock().token(now);
         match token {
             Some(token) => self.perform_duties(token, now).await,
@@ -213,6 +225,19 @@
         }
     }
 
+    /// Drops what an earlier era of the store says about the lease and the published statuses, if a
+    /// new one has begun.
+    fn enter_era(&mut self, now: BootTime) {
+        let mut lease = self.node.lease.lock();
+        lease.enter_era(self.client.store_era(), now);
+        if lease.era > self.era {
+            tracing::info!(event = "store_era", old = self.era.0, new = lease.era.0);
+            self.era = lease.era;
+            self.pending_append = None;
+            self.rollouts.forget_published();
+        }
+    }
+
     async fn perform_duties(&mut self, token: FencingToken, now: BootTime) {
         self.needs_record |= self.finalize_due_reports();
         let renew = self.node.lease.lock().needs_renewal(now);
@@ -396,10 +421,9 @@
     async fn try_acquire(&mut self, now: BootTime) {
         let (may_be_vacant, from) = {
             let lease = self.node.lease.lock();
-            let is_first_read = lease.last.is_none();
-            (is_first_read || lease.is_vacant(now), lease.end)
+            (!lease.was_read() || lease.is_vacant(now), lease.end)
         };
-        if !may_be_vacant || self.node.config().is_none() {
+        if !may_be_vacant || self.node.config().is_none() || !self.may_contend(now) {
             return;
         }
         if !self.read_new_records(from).await {
@@ -408,24 +432,46 @@
         if !self.node.lease.lock().is_vacant(BootTime::now()) {
             return;
         }
-        self.adopt_last_record();
+        self.start_from_succession();
         let record = self.build_record(None, false, &[]);
         if self.append(record).await {
             tracing::info!(event = "lease_taken", end = self.node.lease.lock().end);
         }
     }
 
-    /// Adopts the reports and baselines of the last record; without one, reporting starts with the
-    /// current window.
-    fn adopt_last_record(&mut self) {
-        let last = self.node.lease.lock().last.clone();
-        if let Some(record) = last {
-            self.reports = record.reports;
-            self.final_window = Some(record.final_window);
-            self.fleet.adopt(record.baselines);
-        } else {
-            self.reports.clear();
-            self.final_window = Some(WindowIndex(self.node.usage_window().0.saturating_sub(1)));
+    /// Returns whether it is this entry's turn to contend for the lease.
+    ///
+    /// Entries that are ranked further back wait longer, so that in a large system a few of them
+    /// watch the stream and not all of them read it whenever a peer's news of the lease is late.
+    fn may_contend(&self, now: BootTime) -> bool {
+        let rank = contender_rank(&self.node);
+        let steps = u32::try_from(rank / CONTENDERS_PER_STEP).unwrap_or(u32::MAX);
+        let delay = CONTENDER_STEP.saturating_mul(steps).min(MAX_CONTENDER_DELAY);
+        self.node.lease.lock().progress_age(now) >= delay
+    }
+
+    /// Takes over the reports and baselines of the previous term.
+    ///
+    /// Where its newest record may be unknown, reporting starts with the current window, because
+    /// earlier windows may have been reported with other counts.
+    fn start_from_succession(&mut self) {
+        let succession = self.node.lease.lock().succession();
+        match succession {
+            Succession::Continue => {}
+            Succession::Adopt(record) => {
+                self.reports = record.reports;
+                self.final_window = Some(record.final_window);
+                self.fleet.adopt(record.baselines);
+            }
+            Succession::Restart(older) => {
+                let current = self.node.usage_window();
+                tracing::info!(event = "usage_restarted", first = current.0);
+                self.reports.clear();
+                self.final_window = Some(WindowIndex(current.0.saturating_sub(1)));
+                if let Some(record) = older {
+                    self.fleet.adopt(record.baselines);
+                }
+            }
         }
     }
 
@@ -434,10 +480,7 @@
         match self.client.read_lease(from).await {
             Ok(read) => {
                 let now = BootTime::now();
-                let mut lease = self.node.lease.lock();
-                lease.record_read(now);
-                lease.apply_records(read.records, read.end, now);
-                drop(lease);
+                self.node.lease.lock().apply_read(read, now);
                 self.merge_recorded_rollouts();
                 true
             }
@@ -474,6 +517,7 @@
             baselines: self.fleet.baselines(),
             rollouts: started.collect(),
             released,
+            era: self.era,
         }
     }
 
@@ -481,7 +525,13 @@
     async fn append(&mut self, record: LeaseRecord) -> bool {
         let end = self.node.lease.lock().end;
         let sent = BootTime::now();
-        match self.client.append_lease(&record, end).await {
+        let outcome = self.client.append_lease(&record, end).await;
+        self.enter_era(BootTime::now());
+        if self.era > record.era {
+            // The offset belongs to an earlier era, whether or not the append took effect.
+            return false;
+        }
+        match outcome {
             Ok(ConditionalAppend::Appended(offset)) => {
                 self.node
                     .lease
@@ -517,22 +567,23 @@
         let Some((record, sent)) = self.pending_append.take() else {
             return;
         };
+        if read.era > record.era {
+            self.enter_era(BootTime::now());
+            return;
+        }
         if read.end == from {
             // The append has not taken effect yet. The next one is conditional on the same
             // offset, so that at most one of the two succeeds.
             return;
         }
-        if read.records.first() == Some(&record) && read.end == from + 1 {
+        if read.newest.as_ref() == Some(&record) && read.end == from + 1 {
             self.apply_stages(&record.rollouts);
             self.node.lease.lock().record_own_append(record, from, sent);
             self.needs_record = false;
         } else {
             self.abandon_term();
             let now = BootTime::now();
-            self.node
-                .lease
-                .lock()
-                .apply_records(read.records, read.end, now);
+            self.node.lease.lock().apply_read(read, now);
             self.merge_recorded_rollouts();
         }
     }
@@ -559,3 +610,12 @@
         }
     }
 }
+
+/// Returns the number of live entries that contend for the lease before this one.
+fn contender_rank(node: &Node) -> usize {
+    let hash = |name: &EntryName| xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes());
+    let own = hash(&node.settings.name);
+    let members = node.members.lock();
+    let live = members.live(Instant::now());
+    live.filter(|p| hash(&p.state.name) < own).count()
+}
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::EntryName;
 use crate::Node;
 use crate::RolloutOrder;
+use crate::StoreEra;
 use crate::TableChange;
 
 /// Minimum time that a read waits for the first update.
@@ -76,6 +77,9 @@
 
 /// Client for the platform's feeds and its list of entries.
 pub trait FeedClient: Send + Sync + 'static {
+    /// Returns the newest era of the store that any of its responses has named.
+    fn store_era(&self) -> StoreEra;
+
     /// Reads the current content of a feed.
     ///
     /// # Errors
@@ -117,6 +121,13 @@
     ) -> impl Future<Output = Result<Vec<(EntryName, SocketAddr)>, FeedError>> + Send;
 }
 
+/// Position of the next read of a feed; it is valid in one era of the store only.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    offset: u64,
+    era: StoreEra,
+}
+
 /// Applies a feed's updates to the node until the process ends, retrying with backoff.
 pub async fn follow_feed<E: FeedClient>(client: Arc<E>, node: Arc<Node>, feed: Feed) {
     let mut from = None;
@@ -150,12 +161,10 @@
     client: &E,
     node: &Node,
     feed: Feed,
-    from: Option<u64>,
-) -> Result<Option<u64>, FeedError> {
-    let Some(from) = from else {
-        let snapshot = client.snapshot(feed).await?;
-        apply_snapshot(node, feed, snapshot.updates);
-        return Ok(Some(snapshot.next_position));
+    from: Option<Position>,
+) -> Result<Option<Position>, FeedError> {
+    let Some(Position { offset: from, era }) = from else {
+        return read_snapshot(client, node, feed).await;
     };
     let Some(read) = client.read(feed, from, poll_wait(node)).await? else {
         tracing::info!(event = "history_gone", ?feed, from);
@@ -170,6 +179,14 @@
         );
         return Ok(None);
     }
+    if client.store_era() != era {
+        // Offsets have gone back and are given out again, so that updates may be missing.
+        tracing::info!(event = "store_era_changed", ?feed, old = era.0, new = client.store_era().0);
+        if feed == Feed::Endpoints {
+            node.endpoints.lock().record_failed_read(Instant::now());
+        }
+        return Ok(None);
+    }
     let has_updates = read.next_position > from;
     for update in read.updates {
         apply_update(node, update);
@@ -177,7 +194,30 @@
     if has_updates {
         tokio::time::sleep(batch_delay(node, feed)).await;
     }
-    Ok(Some(read.next_position))
+    Ok(Some(Position {
+        offset: read.next_position,
+        era,
+    }))
+}
+
+/// Reads the current content of the feed; returns the next position, or `None` to read it again
+/// because the store changed its era meanwhile.
+async fn read_snapshot<E: FeedClient>(
+    client: &E,
+    node: &Node,
+    feed: Feed,
+) -> Result<Option<Position>, FeedError> {
+    let before = client.store_era();
+    let snapshot = client.snapshot(feed).await?;
+    let era = client.store_era();
+    if before != StoreEra::default() && before != era {
+        return Ok(None);
+    }
+    apply_snapshot(node, feed, snapshot.updates);
+    Ok(Some(Position {
+        offset: snapshot.next_position,
+        era,
+    }))
 }
 
 /// Returns how long a read waits for the first update, by the number of entries.
@@ -188,7 +228,7 @@
 }
 
 /// Returns the delay after a read that returned updates.
-fn batch_delay(node: &Node, feed: Feed) -> Duration {
+pub(crate) fn batch_delay(node: &Node, feed: Feed) -> Duration {
     match feed {
         Feed::Orders => MIN_BATCH_DELAY,
         Feed::Endpoints => {
@@ -234,7 +274,7 @@
         Update::Rollout(order) => node.apply_rollout_order(order),
         Update::Endpoint(record) => {
             let id = record.id.clone();
-            let change = update_endpoints(node, |table, _| table.apply(record));
+            let change = update_endpoints(node, |table, now| table.apply(record, now));
             log_table_change(&id, change);
         }
         Update::Removed(id) => {
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -29,6 +29,7 @@
 use crate::PeerLoad;
 use crate::RelayedState;
 use crate::StateRevision;
+use crate::UsageDelivery;
 use crate::log_limit;
 use crate::wall_millis;
 
@@ -91,6 +92,10 @@
     /// Exchanges states, configuration and the endpoint list.
     #[method(name = "exchange")]
     async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply>;
+
+    /// Delivers the usage that the calling entry has counted.
+    #[method(name = "usage")]
+    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()>;
 }
 
 struct GossipHandler {
@@ -102,6 +107,11 @@
     async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply> {
         Ok(handle_exchange(&self.node, exchange))
     }
+
+    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()> {
+        self.node.members.lock().record_usage(&delivery);
+        Ok(())
+    }
 }
 
 /// Merges a peer's request and returns what the peer does not know.
@@ -331,6 +341,23 @@
         }
     }
 
+    /// Delivers usage to the entry at an address; returns whether that entry confirmed it.
+    pub(crate) async fn deliver_usage(
+        &self,
+        address: SocketAddr,
+        delivery: UsageDelivery,
+    ) -> bool {
+        let outcome = match self.client(address) {
+            Ok(client) => client.usage(delivery).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = &outcome {
+            self.clients.lock().swap_remove(&address);
+            tracing::debug!(event = "usage_undelivered", %address, %error);
+        }
+        outcome.is_ok()
+    }
+
     async fn call(
         &self,
         address: SocketAddr,
--- a/entry/src/ids.rs
+++ b/entry/src/ids.rs
@@ -68,6 +68,32 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+/// Era of the platform's store: a later one began when the store returned from an older copy.
+///
+/// Positions and appended records of an earlier era say nothing about a later one. Zero stands for
+/// an era that no response has named yet.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+impl StoreEra {
+    /// Number of low bits that hold the offset in [`StoreEra::number`].
+    const OFFSET_BITS: u32 = 40;
+
+    /// Returns a number for an offset of this era that is greater than that of every smaller offset
+    /// and of every offset of an earlier era.
+    pub fn number(self, offset: u64) -> u64 {
+        (self.0 << Self::OFFSET_BITS) | offset
+    }
+
+    /// Returns the era of a number that [`StoreEra::number`] returned.
+    pub fn of_number(number: u64) -> Self {
+        Self(number >> Self::OFFSET_BITS)
+    }
+}
+
 /// Id of a prompt part that several prompts may share.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartId(pub u64);
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -20,6 +20,7 @@
 use crate::ServiceName;
 use crate::Usage;
 use crate::UsageCounts;
+use crate::UsageDelivery;
 use crate::WindowIndex;
 
 /// Minimum refresh interval, used by small systems.
@@ -156,11 +157,14 @@
     /// Stores a state that a peer published at `updated_at`, unless a newer one is known.
     ///
     /// Returns whether the state was stored.
-    pub fn merge(&mut self, state: EntryState, updated_at: Instant) -> bool {
+    pub fn merge(&mut self, mut state: EntryState, updated_at: Instant) -> bool {
         match self.peers.get_mut(&state.name) {
             Some(peer) if peer.state.revision >= state.revision => false,
             Some(peer) => {
-                if peer.state.revision.incarnation != state.revision.incarnation {
+                if peer.state.revision.incarnation == state.revision.incarnation {
+                    // Counts may have been delivered directly after the state was built.
+                    state.usage.raise_to(&peer.state.usage);
+                } else {
                     self.retired_usage.merge(&peer.state.usage);
                 }
                 *peer = Peer { state, updated_at };
@@ -181,6 +185,17 @@
         }
     }
 
+    /// Records counts that a peer delivered directly; those of another incarnation than the known
+    /// one are ignored.
+    pub fn record_usage(&mut self, delivery: &UsageDelivery) {
+        let Some(peer) = self.peers.get_mut(&delivery.entry) else {
+            return;
+        };
+        if peer.state.revision.incarnation == delivery.incarnation {
+            peer.state.usage.raise_to(&delivery.usage);
+        }
+    }
+
     /// Returns the revision of each known state.
     pub fn digest(&self) -> IndexMap<EntryName, StateRevision> {
         let peers = self.peers.iter();
--- a/entry/src/peer_search.rs
+++ b/entry/src/peer_search.rs
@@ -21,24 +21,26 @@
 /// Maximum number of concurrent exchanges, as some entries may be gone and time out.
 const MAX_CONCURRENT_EXCHANGES: usize = 8;
 
-/// Announces this entry's address and contacts announced entries; repeats whenever no peer is live
-/// or the announcement has not succeeded. Runs until the process ends.
+/// Announces this entry's address and contacts announced entries; repeats whenever no peer is live,
+/// the announcement has not succeeded, or the store may have lost it with an earlier era. Runs until
+/// the process ends.
 pub async fn find_peers<E: FeedClient>(client: Arc<E>, node: Arc<Node>, gossip: Arc<Gossip>) {
     let settings = &node.settings;
-    let mut announced = false;
+    // Era of the store that has the announcement.
+    let mut announced = None;
     loop {
-        if !announced {
+        if announced != Some(client.store_era()) {
             let outcome = client.announce(&settings.name, settings.peer_address).await;
             if let Err(error) = &outcome {
                 tracing::debug!(event = "announce_failed", %error);
             }
-            announced = outcome.is_ok();
+            announced = outcome.is_ok().then(|| client.store_era());
         }
         exchange_with_announced(&*client, &node, &gossip).await;
         loop {
             tokio::time::sleep(SEARCH_INTERVAL).await;
             let no_live_peers = node.members.lock().live(Instant::now()).count() == 0;
-            if no_live_peers || !announced {
+            if no_live_peers || announced != Some(client.store_era()) {
                 break;
             }
         }
--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -14,6 +14,7 @@
 
 use crate::RolloutEvidence;
 use crate::ServiceName;
+use crate::StoreEra;
 use crate::VersionName;
 use crate::VersionSide;
 
@@ -24,7 +25,8 @@
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutOrder {
-    /// Number of the order; a later order of the service has a greater one.
+    /// Number of the order, see [`StoreEra::number`]; a later order of the service has a greater
+    /// one.
     pub id: u64,
     /// Service to move.
     pub service: ServiceName,
@@ -35,6 +37,18 @@
     pub within: Duration,
 }
 
+impl RolloutOrder {
+    /// Returns whether another order of the service is the same one.
+    ///
+    /// An order that the store lost is written again and then has another number, of a later era.
+    fn is_same(&self, other: &Self) -> bool {
+        let era = |order: &Self| StoreEra::of_number(order.id);
+        let is_rewritten = era(self) != era(other);
+        self.id == other.id
+            || is_rewritten && self.target == other.target && self.within == other.within
+    }
+}
+
 /// Progress of a rollout.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum RolloutState {
@@ -133,13 +147,19 @@
     pub fn merge(&mut self, other: &Rollout) -> bool {
         let service = &other.order.service;
         match self.services.get_mut(service) {
-            Some(known) if known.order.id > other.order.id => false,
-            Some(known) if known.order.id == other.order.id => {
+            Some(known) if known.order.is_same(&other.order) => {
+                if other.order.id > known.order.id {
+                    known.order.id = other.order.id;
+                    if let Some(evidence) = self.evidence.get_mut(service) {
+                        evidence.order = other.order.id;
+                    }
+                }
                 known.seen_ms = known.seen_ms.min(other.seen_ms);
                 let is_newer = other.stage > known.stage;
                 known.stage = known.stage.max(other.stage);
                 is_newer
             }
+            Some(known) if known.order.id > other.order.id => false,
             _ => {
                 self.evidence
                     .insert(service.clone(), RolloutEvidence::new(other.order.id));
--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Makes all statuses count as not published, because the store may have lost them.
+    pub fn forget_published(&mut self) {
+        for tracker in self.trackers.values_mut() {
+            tracker.published = None;
+        }
+    }
+
     fn tracker(&mut self, rollout: &Rollout, now: Instant) -> &mut RolloutTracker {
         let order_id = rollout.order.id;
         let service = rollout.order.service.clone();
--- a/entry/src/usage.rs
+++ b/entry/src/usage.rs
@@ -47,6 +47,23 @@
         }
     }
 
+    /// Returns whether there are no counts.
+    pub fn is_empty(&self) -> bool {
+        self.windows.is_empty()
+    }
+
+    /// Raises each count to that of `other`, an older or newer version of the same counts.
+    pub fn raise_to(&mut self, other: &Self) {
+        for (window, counts) in &other.windows {
+            let own = self.windows.entry(*window).or_default();
+            for (customer, count) in counts {
+                let known = own.entry(customer.clone()).or_default();
+                *known = (*known).max(*count);
+            }
+        }
+        self.discard_old();
+    }
+
     /// Adds all counts of `other` and discards windows that are too old.
     pub fn merge(&mut self, other: &Self) {
         for (window, counts) in &other.windows {
@@ -55,6 +72,10 @@
                 *own.entry(customer.clone()).or_default() += count;
             }
         }
+        self.discard_old();
+    }
+
+    fn discard_old(&mut self) {
         let newest = self.windows.keys().max().copied().unwrap_or_default();
         let oldest = WindowIndex(newest.0.saturating_sub(RETAINED_WINDOWS));
         self.windows.retain(|w, _| *w >= oldest);
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -26,6 +26,8 @@
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::ServiceName;
 use hawthornrack_entry::StatusRead;
+use hawthornrack_entry::StoreEra;
+use hawthornrack_entry::Succession;
 use hawthornrack_entry::UsageReport;
 use hawthornrack_entry::VersionName;
 use hawthornrack_entry::VersionSide;
@@ -39,11 +41,17 @@
 use std::time::Duration;
 use testutils::config;
 use testutils::settings;
+use tokio::time::Instant;
 
 /// In-memory platform with a lease stream, rollout statuses and usage reports by window.
 #[derive(Debug, Default)]
 struct Platform {
     lease_stream: Vec<LeaseRecord>,
+    /// Offset of the first record of the lease stream that can still be read.
+    first_retained: usize,
+    era: StoreEra,
+    /// Number of reads of the lease stream.
+    reads: usize,
     reports: IndexMap<WindowIndex, UsageReport>,
     highest_token: u64,
     token_holders: IndexMap<u64, String>,
@@ -72,12 +80,20 @@
 }
 
 impl DutyClient for LossyClient {
+    fn store_era(&self) -> StoreEra {
+        self.platform.lock().era
+    }
+
     async fn read_lease(&self, from: u64) -> Result<LeaseRead, DutyError> {
-        let platform = self.platform.lock();
-        let records = platform.lease_stream[from as usize..].to_vec();
+        let mut platform = self.platform.lock();
+        platform.reads += 1;
+        let first = platform.first_retained.max(from as usize);
+        let newest = platform.lease_stream.get(first..);
+        let newest = newest.and_then(|records| records.last()).cloned();
         let end = platform.lease_stream.len() as u64;
+        let era = platform.era;
         drop(platform);
-        self.respond(LeaseRead { records, end })
+        self.respond(LeaseRead { newest, end, era })
     }
 
     async fn append_lease(
@@ -227,6 +243,47 @@
     );
 }
 
+/// Returns duties of the entry `name` whose calls to the platform all succeed.
+fn reliable_duties(platform: &Arc<Mutex<Platform>>, name: &str) -> (Arc<Node>, Duties<LossyClient>) {
+    let node = entry(name);
+    let client = LossyClient {
+        platform: Arc::clone(platform),
+        holder: name.to_owned(),
+        rng: Arc::new(Mutex::new(SmallRng::seed_from_u64(1))),
+        loss_ratio: 0.0,
+        refusal_ratio: 0.0,
+    };
+    (Arc::clone(&node), Duties::new(node, client))
+}
+
+// Guards against two different reports for one window after the stream has lost its history: an
+// entry that could not read the newest record acquired the lease with the final window of an older
+// one, and reported the windows in between once more with its own counts.
+#[tokio::test]
+async fn test_duty_windows_of_an_unreadable_term_are_not_reported_again() {
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    let (node, mut duties) = reliable_duties(&platform, "b");
+    let current = node.usage_window().0;
+    let mut old = record("a");
+    old.final_window = WindowIndex(current - 4);
+    {
+        let mut platform = platform.lock();
+        platform.lease_stream = vec![old.clone(), record("a"), record("a")];
+        platform.first_retained = 3;
+        for index in current - 3..current {
+            let counts = IndexMap::from([(CustomerName::from("kanem"), 999)]);
+            let window = WindowIndex(index);
+            platform.reports.insert(window, UsageReport { window, counts });
+        }
+    }
+    node.lease.lock().apply_read(read(1, Some(old), 0), at(0));
+    for _ in 0..35 {
+        duties.tick().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(platform.lock().lease_stream.len() > 3, "the lease was not acquired");
+}
+
 /// Records failures of the new version in the evidence of every entry.
 fn record_failures<'a>(nodes: impl Iterator<Item = &'a Node>) {
     for node in nodes {
@@ -287,6 +344,16 @@
         baselines: IndexMap::new(),
         rollouts: Vec::new(),
         released: false,
+        era: StoreEra::default(),
+    }
+}
+
+/// Returns a read of the stream in an era that ends at `end` with a record of the holder `a`.
+fn read(end: u64, newest: Option<LeaseRecord>, era: u64) -> LeaseRead {
+    LeaseRead {
+        newest,
+        end,
+        era: StoreEra(era),
     }
 }
 
@@ -324,10 +391,11 @@
 #[test]
 fn test_duty_repeated_peer_reports_do_not_extend_the_lease() {
     let mut lease = LeaseState::default();
-    lease.apply_records(vec![record("a")], 1, at(0));
+    lease.apply_read(read(1, Some(record("a")), 0), at(0));
     let view = LeaseView {
         holder: "a".into(),
         end: 3,
+        era: StoreEra::default(),
     };
     for ms in (0..4_000).step_by(300) {
         lease.record_peer(&view, at(1_000 + ms));
@@ -337,7 +405,7 @@
     assert!(!lease.is_vacant(before));
     assert!(lease.is_vacant(end));
     // Reading the records that the view already covered does not extend it either.
-    lease.apply_records(vec![record("a"), record("a")], 3, end);
+    lease.apply_read(read(3, Some(record("a")), 0), end);
     assert!(lease.is_vacant(end));
 }
 
@@ -347,6 +415,130 @@
     let mut lease = LeaseState::default();
     let mut released = record("a");
     released.released = true;
-    lease.apply_records(vec![released], 1, at(0));
+    lease.apply_read(read(1, Some(released), 0), at(0));
     assert!(lease.is_vacant(at(1)));
 }
+
+// Guards against an entry that acquires the lease from a live holder because the history of the
+// stream is lost: it knew no record, and took that for a stream without a holder.
+#[test]
+fn test_duty_unreadable_newest_record_does_not_make_the_lease_vacant() {
+    let mut lease = LeaseState::default();
+    lease.apply_read(read(7, None, 0), at(0));
+    let end = BootTime(LEASE_DURATION + ACQUIRE_GRACE_PERIOD);
+    assert!(!lease.is_vacant(BootTime(end.0.saturating_sub(Duration::from_millis(1)))));
+    assert!(lease.is_vacant(end));
+    assert_eq!(lease.succession(), Succession::Restart(None));
+}
+
+// Guards against a token that two holders use because the store gives out an offset again, and
+// against one that goes back.
+#[test]
+fn test_duty_token_rises_when_offsets_go_back() {
+    let mut lease = LeaseState::default();
+    lease.enter_era(StoreEra(1), at(0));
+    lease.record_own_append(record("a"), 9, at(0));
+    let before = lease.token(at(10)).unwrap();
+    lease.enter_era(StoreEra(2), at(20));
+    assert_eq!(lease.token(at(20)), None, "the term belongs to an earlier era");
+    let mut renewed = record("a");
+    renewed.era = StoreEra(2);
+    lease.record_own_append(renewed, 4, at(30));
+    assert!(lease.token(at(40)).unwrap() > before);
+}
+
+// Guards against a second holder while the first one still acts on a term of the era before, and
+// against the loss of what only that first one knows.
+#[test]
+fn test_duty_lease_of_an_earlier_era_stays_with_its_holder_until_it_expires() {
+    let mut holder = LeaseState::default();
+    let mut other = LeaseState::default();
+    holder.enter_era(StoreEra(1), at(0));
+    let mut first = record("a");
+    first.era = StoreEra(1);
+    holder.record_own_append(first.clone(), 9, at(0));
+    other.apply_read(read(10, Some(first.clone()), 1), at(100));
+    let restored = read(4, Some(first.clone()), 2);
+    holder.apply_read(restored.clone(), at(1_000));
+    other.apply_read(restored, at(1_000));
+    assert!(holder.is_vacant(at(1_000)));
+    assert_eq!(holder.succession(), Succession::Continue);
+    assert!(!other.is_vacant(at(3_000)));
+    assert!(other.is_vacant(at(3_400)));
+    assert_eq!(other.succession(), Succession::Restart(Some(first)));
+    // A record of the new era ends the claim of the former holder.
+    let mut newer = record("b");
+    newer.era = StoreEra(2);
+    holder.apply_read(read(5, Some(newer.clone()), 2), at(1_100));
+    assert!(!holder.is_vacant(at(1_100)));
+    assert_eq!(holder.succession(), Succession::Adopt(newer));
+}
+
+// Guards against a late response of an earlier era that replaces what is known of the new one.
+#[test]
+fn test_duty_read_of_an_earlier_era_has_no_effect() {
+    let mut lease = LeaseState::default();
+    lease.apply_read(read(4, Some(record("a")), 2), at(0));
+    lease.apply_read(read(90, Some(record("b")), 1), at(10));
+    assert_eq!(lease.end, 4);
+}
+
+// Guards against differing reports and tokens with two holders when the store returns from older
+// copies: records are gone and their offsets are given out again.
+#[rstest]
+#[tokio::test]
+async fn test_duty_reports_of_a_window_never_differ_across_eras(#[values(1, 2, 3)] seed: u64) {
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
+    let mut entries = three_entries(&platform, &rng);
+    let customer = CustomerName::from("kanem");
+    for round in 0..900 {
+        let at = rng.lock().random_range(0..entries.len());
+        let (node, duties) = &mut entries[at];
+        let window = node.usage_window();
+        node.usage.lock().record(window, &customer);
+        duties.tick().await;
+        if rng.lock().random_bool(0.004) {
+            node.lease.lock().drop_own_term();
+        }
+        if round % 300 == 299 {
+            let mut platform = platform.lock();
+            let end = platform.lease_stream.len();
+            platform.lease_stream.truncate(end - rng.lock().random_range(0..=end.min(4)));
+            platform.era = StoreEra(platform.era.0 + 1);
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!platform.lock().reports.is_empty(), "seed {seed}");
+}
+
+// Guards against a large system whose entries all read the lease stream every few seconds: news of
+// the lease comes late there, and each entry took the holder's term for expired.
+#[tokio::test]
+async fn test_duty_few_entries_watch_a_lease_whose_news_is_late() {
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    platform.lock().lease_stream.push(record("e0"));
+    let names: Vec<String> = (0..40).map(|n| format!("e{n}")).collect();
+    let mut entries: Vec<_> = names.iter().map(|n| reliable_duties(&platform, n)).collect();
+    let states: Vec<_> = entries.iter().map(|(node, _)| node.own_state()).collect();
+    for (node, _) in &entries {
+        let mut members = node.members.lock();
+        for state in &states {
+            if state.name != node.settings.name {
+                members.merge(state.clone(), Instant::now());
+            }
+        }
+    }
+    let age = |seconds| BootTime(BootTime::now().0 - Duration::from_secs(seconds));
+    for (seconds, most) in [(3, 4), (5, 8)] {
+        platform.lock().reads = 0;
+        for (node, duties) in &mut entries {
+            *node.lease.lock() = LeaseState::default();
+            let known = read(1, Some(record("e0")), 0);
+            node.lease.lock().apply_read(known, age(seconds));
+            duties.tick().await;
+        }
+        let reads = platform.lock().reads;
+        assert!((1..=most).contains(&reads), "{reads} reads after {seconds} s");
+    }
+}
--- a/entry/tests/test_feed.rs
+++ b/entry/tests/test_feed.rs
@@ -16,6 +16,7 @@
 use hawthornrack_entry::RolloutOrder;
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::ServiceName;
+use hawthornrack_entry::StoreEra;
 use hawthornrack_entry::Update;
 use hawthornrack_entry::Updates;
 use hawthornrack_entry::VersionName;
@@ -37,6 +38,8 @@
     HistoryGone,
     /// Returns an error.
     Fail,
+    /// Returns the updates after the position from a store that has come back from an older copy.
+    PageOfNewEra(Updates),
 }
 
 /// Feed client that returns scripted results, and then waits forever.
@@ -45,6 +48,7 @@
     steps: Mutex<VecDeque<Step>>,
     /// Time and position of each call; `None` for a snapshot.
     calls: Mutex<Vec<(Instant, Option<u64>)>>,
+    era: Mutex<StoreEra>,
 }
 
 impl ScriptedFeed {
@@ -63,6 +67,10 @@
 }
 
 impl FeedClient for ScriptedFeed {
+    fn store_era(&self) -> StoreEra {
+        *self.era.lock()
+    }
+
     async fn snapshot(&self, _feed: Feed) -> Result<Updates, FeedError> {
         match self.call(None).await {
             Some(Step::Snapshot(updates)) => Ok(updates),
@@ -78,6 +86,10 @@
     ) -> Result<Option<Updates>, FeedError> {
         match self.call(Some(from)).await {
             Some(Step::Page(updates)) => Ok(Some(updates)),
+            Some(Step::PageOfNewEra(updates)) => {
+                self.era.lock().0 += 1;
+                Ok(Some(updates))
+            }
             Some(Step::HistoryGone) => Ok(None),
             _ => Err(FeedError("scripted".to_owned())),
         }
@@ -175,3 +187,22 @@
     let rollouts = node.rollouts.lock();
     assert_eq!(rollouts.get(&order.service).unwrap().order, order);
 }
+
+// Guards against updates that are missed because the store has come back from an older copy and
+// gives out the same offsets again, and against an older configuration that replaces a newer one.
+#[tokio::test(start_paused = true)]
+async fn test_feed_starts_over_when_the_store_returns_from_an_older_copy() {
+    let with_version = |version| {
+        let mut config = config(RouteKind::Once);
+        config.version = version;
+        vec![Update::Config(Box::new(config))]
+    };
+    let steps = vec![
+        Step::Snapshot(updates(with_version(9), 30)),
+        Step::PageOfNewEra(updates(Vec::new(), 31)),
+        Step::Snapshot(updates(with_version(7), 28)),
+    ];
+    let (client, node) = run_feed(Feed::Orders, steps, Duration::from_secs(5)).await;
+    assert_eq!(client.positions(), [None, Some(30), None, Some(28)]);
+    assert_eq!(node.config().unwrap().version, 9);
+}
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -166,6 +166,37 @@
     // A newer record than the one that the peer saw removed restores the endpoint.
     let mut relisted = testutils::endpoint("e1");
     relisted.sequence = 2;
-    receiver.endpoints.lock().apply(relisted);
+    receiver.endpoints.lock().apply(relisted, Instant::now());
     assert_eq!(count(), 3);
 }
+
+// Guards against usage reports that lack requests: counts that a peer delivered directly must not
+// be replaced by those of a state that was built before, and must not be added to it.
+#[tokio::test(start_paused = true)]
+async fn test_members_delivered_usage_is_kept_and_counted_once() {
+    let customer = hawthornrack_entry::CustomerName::from("kanem");
+    let window = hawthornrack_entry::WindowIndex(7);
+    let usage = |count| {
+        let mut usage = hawthornrack_entry::Usage::default();
+        for _ in 0..count {
+            usage.record(window, &customer);
+        }
+        usage
+    };
+    let mut members = Members::default();
+    members.merge(new_state("b", 1), Instant::now());
+    let incarnation = new_state("b", 1).revision.incarnation;
+    let delivery = |incarnation, count| hawthornrack_entry::UsageDelivery {
+        entry: EntryName::from("b"),
+        incarnation,
+        usage: usage(count),
+    };
+    members.record_usage(&delivery(incarnation, 5));
+    members.record_usage(&delivery(incarnation + 1, 90));
+    let mut older = new_state("b", 2);
+    older.usage = usage(3);
+    members.merge(older, Instant::now());
+    let mut sum = hawthornrack_entry::UsageCounts::new();
+    members.add_usage(window, &mut sum);
+    assert_eq!(sum[&customer], 5);
+}
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -29,6 +29,7 @@
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::ServiceName;
 use hawthornrack_entry::Stage;
+use hawthornrack_entry::StoreEra;
 use hawthornrack_entry::VersionFilter;
 use hawthornrack_entry::VersionName;
 use hawthornrack_entry::VersionPlan;
@@ -241,7 +242,7 @@
     table.replace(vec![endpoint("e0")], now);
     let mut new = endpoint("n0");
     new.version = VersionName::from("v2");
-    table.apply(new);
+    table.apply(new, Instant::now());
     assert!(table.has_delayed_version(&desk(), now));
     assert_eq!(chosen_version(&table), None);
     tokio::time::sleep(Duration::from_millis(1_600)).await;
@@ -255,7 +256,7 @@
     table.replace(Vec::new(), Instant::now());
     let mut first = endpoint("n0");
     first.version = VersionName::from("v2");
-    table.apply(first);
+    table.apply(first, Instant::now());
     assert_eq!(chosen_version(&table).as_deref(), Some("v2"));
 }
 
@@ -575,3 +576,27 @@
     let mut driver = RolloutDriver::default();
     assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
 }
+
+// Guards against a finished rollout that starts again: the operator's order was written once more
+// after the store came back from an older copy, and has another number there.
+#[test]
+fn test_rollout_order_written_again_in_a_later_era_keeps_its_stage() {
+    let done = stage(RolloutState::RolledBack, 3, 0);
+    let first = rollout(StoreEra(1).number(40), Some(done));
+    let rewritten = rollout(StoreEra(2).number(31), None);
+    for order in [[&first, &rewritten], [&rewritten, &first]] {
+        let mut rollouts = Rollouts::default();
+        for rollout in order {
+            rollouts.merge(rollout);
+        }
+        let known = rollouts.get(&desk()).unwrap();
+        assert_eq!(known.stage, Some(done));
+        assert_eq!(known.order.id, rewritten.order.id);
+    }
+    let mut rollouts = Rollouts::default();
+    rollouts.merge(&first);
+    let mut repeated = rollout(StoreEra(1).number(41), None);
+    repeated.order.target = VersionName::from("v2");
+    rollouts.merge(&repeated);
+    assert_eq!(rollouts.get(&desk()).unwrap().stage, None, "a new order of the same era");
+}
