fleet: a baseline waits until the endpoint list has stopped growing

Both new tests failed before: ten endpoints a domain were ordered of forty, and the first ready spot endpoint replaced all on-demand ones while no load was known.

--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -99,8 +99,8 @@
 impl FleetPlanner {
     /// Returns the orders that bring the fleet to its planned size.
     ///
-    /// `baseline` is the largest number of on-demand endpoints in one failure domain when the
-    /// deployment started. It reflects the load that operators expect before any request arrives.
+    /// `baseline` is the largest number of endpoints in one failure domain when the deployment
+    /// started. It reflects the load that operators expect before any request arrives.
     pub fn orders(
         &mut self,
         service: &ServiceName,
@@ -113,7 +113,10 @@
         let domains = scaling.domain_prices.len().max(1);
         let needed = self.peak_demand(demand.endpoints(), now);
         let spot = Self::spot_count(scaling, baseline, needed, domains);
-        let on_demand_counts = self.on_demand_counts(scaling, fleet, needed, spot, now);
+        // Before the first request, the load that the operators expect is all that is known.
+        let expected = if needed > 0.0 { 0 } else { baseline * domains as u32 };
+        let required = ((needed * MIN_CAPACITY_FRACTION).ceil() as u32).max(expected).max(1);
+        let on_demand_counts = self.on_demand_counts(scaling, fleet, required, spot, now);
         let mut orders = Vec::new();
         for (domain, on_demand) in on_demand_counts {
             let current = fleet.get(&domain).copied().unwrap_or_default();
@@ -175,7 +178,7 @@
     }
 
     /// Returns the number of on-demand endpoints per domain that are needed in addition to the spot
-    /// endpoints.
+    /// endpoints, so that `required` endpoints are available at any time.
     ///
     /// Starting spot endpoints prevent new on-demand orders, but on-demand endpoints are released
     /// only when spot endpoints that replace them accept requests.
@@ -183,11 +186,10 @@
         &self,
         scaling: &Scaling,
         fleet: &IndexMap<DomainName, DomainFleet>,
-        needed: f64,
+        required: u32,
         spot: u32,
         now: Instant,
     ) -> IndexMap<DomainName, u32> {
-        let required = ((needed * MIN_CAPACITY_FRACTION).ceil() as u32).max(1);
         let ready: u32 = fleet.values().map(|f| f.spot).sum();
         // While spot orders are refused, all spot endpoints may be lost before any replacement
         // could start.
--- a/entry/src/fleet_autoscaler.rs
+++ b/entry/src/fleet_autoscaler.rs
@@ -9,18 +9,18 @@
 use crate::DomainFleet;
 use crate::DomainName;
 use crate::EntryName;
+use crate::Feed;
 use crate::FleetOrder;
 use crate::FleetPlanner;
 use crate::Node;
 use crate::Rollout;
 use crate::ServiceName;
+use crate::baseline::Baseline;
+use crate::feed::batch_delay;
 
 /// Window over which the rate of prompt tokens is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 
-/// Time within which the endpoints of a new deployment become known.
-const BASELINE_DISCOVERY_PERIOD: Duration = Duration::from_millis(1500);
-
 /// Time after the end of a rollout during which the service's fleet is not planned; the endpoints
 /// of the unused version are removed within it.
 const ROLLOUT_COOLDOWN: Duration = Duration::from_secs(5);
@@ -58,26 +58,26 @@
 #[derive(Debug, Default)]
 pub struct FleetAutoscaler {
     planners: IndexMap<ServiceName, (PrefillRate, FleetPlanner)>,
-    baselines: IndexMap<ServiceName, u32>,
-    /// Whether the baselines were adopted from an earlier lease holder.
-    is_adopted: bool,
-    started_at: Option<Instant>,
+    baselines: IndexMap<ServiceName, Baseline>,
     /// Time at which a rollout of the service was last seen in progress.
     last_rollout: IndexMap<ServiceName, Instant>,
     last_planned: Option<Instant>,
 }
 
 impl FleetAutoscaler {
-    /// Returns the largest number of on-demand endpoints in one failure domain when the deployment
-    /// started, by service.
+    /// Returns the largest number of endpoints in one failure domain when the deployment started,
+    /// by service; services for which it is not known yet are missing.
     pub fn baselines(&self) -> IndexMap<ServiceName, u32> {
-        self.baselines.clone()
+        let baselines = self.baselines.iter();
+        let known = baselines.filter_map(|(name, b)| Some((name.clone(), b.known()?)));
+        known.collect()
     }
 
     /// Adopts the baselines of an earlier lease holder.
     pub fn adopt(&mut self, baselines: IndexMap<ServiceName, u32>) {
-        self.is_adopted = true;
-        self.baselines = baselines;
+        let adopted = baselines.into_iter();
+        self.baselines
+            .extend(adopted.map(|(name, count)| (name, Baseline::Known(count))));
     }
 
     /// Returns the orders that are due now; none if the last plan is too recent.
@@ -104,18 +104,15 @@
             rate.update(&prefill_totals(node, name), now);
             let (fleet, mut demand) = measure_fleet(node, name, now);
             demand.prefill_rate = rate.per_second;
-            let found = fleet
-                .values()
-                .map(|f| f.on_demand)
-                .max()
-                .unwrap_or_default();
-            let baseline = self.baselines.entry(name.clone()).or_default();
-            let since = now.duration_since(*self.started_at.get_or_insert(now));
-            if !self.is_adopted && since < BASELINE_DISCOVERY_PERIOD {
-                *baseline = found.max(*baseline);
+            let baseline = self
+                .baselines
+                .entry(name.clone())
+                .or_insert_with(|| Baseline::new(now));
+            let counts = fleet.values().map(|f| f.spot + f.on_demand);
+            baseline.update(counts, batch_delay(node, Feed::Endpoints), now);
+            let Some(baseline) = baseline.known() else {
                 continue;
-            }
-            let baseline = *baseline;
+            };
             orders.extend(planner.orders(name, scaling, baseline, &fleet, demand, now));
         }
         orders
--- a/entry/tests/test_fleet.rs
+++ b/entry/tests/test_fleet.rs
@@ -1,16 +1,25 @@
 //! Tests of the planned fleet sizes per failure domain.
 
+mod testutils;
+
 use std::time::Duration;
 
+use hawthornrack_entry::Config;
 use hawthornrack_entry::Demand;
 use hawthornrack_entry::DomainFleet;
 use hawthornrack_entry::DomainName;
+use hawthornrack_entry::FleetAutoscaler;
 use hawthornrack_entry::FleetOrder;
 use hawthornrack_entry::FleetPlanner;
+use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::Scaling;
+use hawthornrack_entry::Service;
 use hawthornrack_entry::ServiceName;
 use indexmap::IndexMap;
 use rstest::rstest;
+use testutils::config;
+use testutils::endpoint;
+use testutils::node;
 use tokio::time::Instant;
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -226,3 +235,71 @@
     }
     assert!(simulation.total() >= 6, "{:?}", simulation.fleet);
 }
+
+/// Returns a configuration whose service `desk` is scaled in four domains.
+fn scaled_config() -> Config {
+    let mut config = config(RouteKind::Once);
+    let mut scaling = scaling(true);
+    scaling.max = 108;
+    let service = Service {
+        name: ServiceName::from("desk"),
+        max_connections: 100,
+        engine: None,
+        scaling: Some(scaling),
+    };
+    config.services.insert(service.name.clone(), service);
+    config
+}
+
+// Guards against a fleet that is ordered down before the first request: in a large system the
+// endpoints of a new deployment become known over many seconds, and the few that were known first
+// were taken for all.
+#[tokio::test(start_paused = true)]
+async fn test_fleet_is_not_planned_before_all_endpoints_are_known() {
+    let node = node(scaled_config(), 0);
+    let mut autoscaler = FleetAutoscaler::default();
+    let mut orders = Vec::new();
+    for second in 0..16_usize {
+        // Twenty endpoints more in each of the first eight seconds.
+        if second < 8 {
+            for index in 0..20 {
+                let mut record = endpoint(&format!("e{second}-{index}"));
+                record.domain = DomainName::from(DOMAINS[index % 4]);
+                node.endpoints.lock().apply(record, Instant::now());
+            }
+        }
+        orders.extend(autoscaler.orders(&node, Instant::now()));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert!(!orders.is_empty());
+    // Forty endpoints in each domain.
+    assert!(orders.iter().all(|o| o.spot && o.count >= 40), "{orders:?}");
+}
+
+// Guards against a gap while on-demand endpoints are replaced before the first request: the first
+// ready spot endpoint was taken for enough, because no load was known.
+#[tokio::test(start_paused = true)]
+async fn test_fleet_keeps_on_demand_endpoints_until_spot_ones_are_ready_without_load() {
+    let mut planner = FleetPlanner::default();
+    let service = ServiceName::from("engines");
+    let mut scaling = scaling(true);
+    scaling.max = 30;
+    let mut simulation = Simulation::new(15);
+    simulation.fleet[0].spot = 2;
+    let orders = planner.orders(
+        &service,
+        &scaling,
+        15,
+        &simulation.fleet,
+        Demand::default(),
+        Instant::now(),
+    );
+    let kept: u32 = DOMAINS
+        .iter()
+        .map(|d| {
+            let order = orders.iter().find(|o| !o.spot && o.domain.as_str() == *d);
+            order.map_or(15, |o| o.count)
+        })
+        .sum();
+    assert!(kept >= 58, "{orders:?}");
+}
