--- a/programs/tests/test_ctl.rs
+++ b/programs/tests/test_ctl.rs
@@ -300,6 +300,12 @@
     let applied = ["service advisor", "endpoint a1", "customer kanem"];
     assert_eq!(first.json()["applied"], serde_json::json!(applied));
     assert_eq!(workspace.run("diff site.toml").await.code, 0);
+    // The first checkpoint is a record too, and follows the first change within a second.
+    wait_until("the first checkpoint is written", TIMEOUT, async || {
+        let timeline = workspace.run("timeline").await;
+        timeline.stdout.contains("config.checkpoint_written")
+    })
+    .await;
     let next = workspace.run("status --json").await.json()["next"].clone();
     let second = workspace.run("apply site.toml").await;
     assert_eq!(
