endpoints: what endpoints say of their availability, and departed ones stay out of use

A paused endpoint counts as full, so that callers learn the shortest wait.

An endpoint that had said that it leaves came back into use when its record was removed and listed once more; so did a removed endpoint whose last record an older list named again.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
+use crate::EndpointNotice;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
@@ -121,7 +122,11 @@
     ) -> Result<(EndpointResponse<E::Body>, Reservation), Refusal> {
         loop {
             let reservation = self.acquire_reservation(node).await?;
-            match self.send(node, client, &reservation).await {
+            let sent = self.send(node, client, &reservation).await;
+            if let Some(notice) = notice_of(&sent) {
+                reservation.apply_notice(notice, Instant::now());
+            }
+            match sent {
                 Ok(response) if self.is_retryable_failure(&response) && self.take_retry(node) => {
                     reservation.record_failed_response();
                     self.may_have_run = true;
@@ -511,6 +516,20 @@
     }
 }
 
+/// Returns what an endpoint that responded said of its availability.
+fn notice_of<B>(sent: &Result<EndpointResponse<B>, SendFailure>) -> Option<EndpointNotice> {
+    match sent {
+        Ok(response) => Some(response.notice),
+        // Another endpoint speaks for itself only.
+        Err(SendFailure::Rejected {
+            misdirected: false,
+            notice,
+            ..
+        }) => Some(*notice),
+        Err(_) => None,
+    }
+}
+
 fn send_outcome<B>(response: &Result<EndpointResponse<B>, SendFailure>) -> &'static str {
     match response {
         Ok(response) if response.status < 500 => "answered",
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -37,6 +37,15 @@
     pub stream: bool,
 }
 
+/// What an endpoint says of its availability in a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointNotice {
+    /// Whether the endpoint leaves and takes no more requests soon.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this entry.
+    pub retry_after: Option<Duration>,
+}
+
 /// Reason why a send failed.
 #[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
 pub enum SendFailure {
@@ -48,6 +57,8 @@
         status: u16,
         /// Whether a different endpoint responded at the address.
         misdirected: bool,
+        /// What the endpoint said of its availability.
+        notice: EndpointNotice,
     },
     /// endpoint may have run the request: {0}
     MayHaveRun(String),
@@ -64,6 +75,8 @@
     pub body: ResponseBody<B>,
     /// Whether the endpoint announced that it closes the connection.
     pub closing: bool,
+    /// What the endpoint said of its availability.
+    pub notice: EndpointNotice,
 }
 
 /// Body of a response.
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -21,6 +21,10 @@
 /// Upper limit of the time for which an unavailable endpoint is avoided.
 const MAX_AVOIDANCE_TIME: Duration = Duration::from_secs(4);
 
+/// Maximum time for which an endpoint is given no requests because it asked for that, so that a
+/// malformed response does not take it out of use for good.
+const MAX_PAUSE: Duration = Duration::from_mins(5);
+
 /// Weight of the newest outcome in the moving average of failures.
 const FAILURE_RATE_SMOOTHING_FACTOR: f64 = 0.15;
 
@@ -64,6 +68,8 @@
     /// Number of times that the endpoint was unavailable since its last successful response.
     unavailable_count: u32,
     avoid_until: Option<Instant>,
+    /// End of the time for which the endpoint wants no requests from this entry.
+    paused_until: Option<Instant>,
     latency_ms: Option<f64>,
 }
 
@@ -139,6 +145,18 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
+    /// Records that the endpoint wants no requests from this entry for a time.
+    pub fn pause(&mut self, duration: Duration, now: Instant) {
+        let until = now + duration.min(MAX_PAUSE);
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
+    /// Returns how long the endpoint still wants no requests from this entry.
+    pub fn pause_left(&self, now: Instant) -> Duration {
+        let until = self.paused_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
         self.running + self.peers.running
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -102,6 +102,15 @@
     }
 }
 
+/// What is kept of an evicted endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    /// Last revision: start of the incarnation and sequence number.
+    revision: (u64, u64),
+    /// Whether the endpoint was draining.
+    is_draining: bool,
+}
+
 /// Effect of an update on the table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TableChange {
@@ -118,8 +127,8 @@
 pub struct EndpointTable {
     arena: IndexMap<EndpointKey, Endpoint>,
     by_id: IndexMap<EndpointId, EndpointKey>,
-    /// Last revision of removed endpoints: start of the incarnation and sequence number.
-    tombstones: IndexMap<EndpointId, (u64, u64)>,
+    /// Last known facts of evicted endpoints.
+    tombstones: IndexMap<EndpointId, Tombstone>,
     /// Endpoints recently removed from the list, with their last revision and removal time.
     recently_removed: IndexMap<EndpointId, ((u64, u64), Instant)>,
     /// Time until which a version that is new to its service gets no requests.
@@ -144,12 +153,14 @@
     }
 
     /// Applies a record unless a newer one is known.
-    pub fn apply(&mut self, record: EndpointRecord) -> TableChange {
+    ///
+    /// A record that is not newer does not bring back an endpoint that counts as removed.
+    pub fn apply(&mut self, record: EndpointRecord, now: Instant) -> TableChange {
         let revision = (record.incarnation, record.sequence);
         if self
             .tombstones
             .get(&record.id)
-            .is_some_and(|old| *old >= revision)
+            .is_some_and(|old| old.revision >= revision)
         {
             return TableChange::None;
         }
@@ -159,7 +170,8 @@
             return TableChange::Joined;
         };
         let old = (endpoint.record.incarnation, endpoint.record.sequence);
-        if revision < old {
+        let is_listed_again = revision > old || endpoint.removed_at.is_none_or(|at| now < at);
+        if revision < old || !is_listed_again {
             return TableChange::None;
         }
         if record.incarnation > endpoint.record.incarnation {
@@ -219,7 +231,7 @@
             }
         }
         for record in records {
-            self.apply(record);
+            self.apply(record, now);
         }
         self.is_initialized = true;
     }
@@ -321,7 +333,9 @@
     }
 
     fn insert(&mut self, record: EndpointRecord) {
-        self.tombstones.shift_remove(&record.id);
+        let tombstone = self.tombstones.shift_remove(&record.id);
+        let was_draining =
+            tombstone.is_some_and(|t| t.is_draining && t.revision.0 == record.incarnation);
         self.delay_new_version(&record);
         let key = EndpointKey(self.next_key);
         self.next_key += 1;
@@ -330,7 +344,7 @@
             self.arena.shift_remove(&old);
         }
         let endpoint = Endpoint {
-            is_draining: record.state == EndpointState::Draining,
+            is_draining: was_draining || record.state == EndpointState::Draining,
             record,
             load: EndpointLoad::default(),
             removed_at: None,
@@ -376,8 +390,11 @@
         };
         let record = endpoint.record;
         self.by_id.shift_remove(&record.id);
-        self.tombstones
-            .insert(record.id, (record.incarnation, record.sequence));
+        let tombstone = Tombstone {
+            revision: (record.incarnation, record.sequence),
+            is_draining: endpoint.is_draining,
+        };
+        self.tombstones.insert(record.id, tombstone);
         if self.tombstones.len() > MAX_TOMBSTONES {
             self.tombstones.shift_remove_index(0);
         }
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -127,8 +127,9 @@
         if is_excluded || request.tried.contains(&key) || !has_allowed_version(endpoint, request) {
             continue;
         }
-        let wait = expected_wait(endpoint, request, now);
-        if is_full(endpoint, request) || wait > request.max_wait {
+        let pause = endpoint.load.pause_left(now);
+        let wait = expected_wait(endpoint, request, now).max(pause);
+        if !pause.is_zero() || is_full(endpoint, request) || wait > request.max_wait {
             shortest_wait = Some(shortest_wait.map_or(wait, |s| s.min(wait)));
             continue;
         }
@@ -164,6 +165,7 @@
     table
         .candidates(request.service, now)
         .filter(|(_, e)| has_allowed_version(e, request) && !e.load.is_avoided(now))
+        .filter(|(_, e)| e.load.pause_left(now).is_zero())
         .max_by_key(|(_, e)| rendezvous_hash(e))
         .map(|(key, _)| key)
 }
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -7,6 +7,7 @@
 
 use crate::EndpointId;
 use crate::EndpointKey;
+use crate::EndpointNotice;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
@@ -93,8 +94,27 @@
         }
     }
 
+    /// Applies what the endpoint said of its availability; peers learn by gossip that it leaves.
+    pub(crate) fn apply_notice(&self, notice: EndpointNotice, now: Instant) {
+        if notice.leaving {
+            self.mark_draining();
+        }
+        if let Some(duration) = notice.retry_after
+            && let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key)
+        {
+            endpoint.load.pause(duration, now);
+            tracing::info!(
+                event = "endpoint_paused",
+                endpoint = %self.endpoint,
+                pause_ms = crate::millis(duration),
+            );
+        }
+    }
+
     /// Marks the endpoint as accepting no more requests.
     pub(crate) fn mark_draining(&self) {
-        self.node.endpoints.lock().mark_draining(&self.endpoint);
+        if self.node.endpoints.lock().mark_draining(&self.endpoint) {
+            tracing::info!(event = "leaving_announced", endpoint = %self.endpoint);
+        }
     }
 }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -240,6 +240,7 @@
         headers,
         body,
         closing,
+        notice: _,
     } = response;
     if closing {
         tracing::debug!(event = "endpoint_closing", endpoint = %reservation.endpoint);
--- a/entry/tests/test_endpoints.rs
+++ b/entry/tests/test_endpoints.rs
@@ -43,7 +43,7 @@
     assert_eq!(candidate_count(&table), 2);
     let mut returned = endpoint("a");
     returned.sequence = 2;
-    table.apply(returned);
+    table.apply(returned, Instant::now());
     tokio::time::sleep(Duration::from_secs(5)).await;
     assert_eq!(candidate_count(&table), 2);
 }
@@ -70,10 +70,10 @@
     let mut draining = endpoint("a");
     draining.state = EndpointState::Draining;
     draining.sequence = 5;
-    assert_eq!(table.apply(draining), TableChange::Leaving);
+    assert_eq!(table.apply(draining, Instant::now()), TableChange::Leaving);
     let mut old = endpoint("a");
     old.sequence = 4;
-    assert_eq!(table.apply(old), TableChange::None);
+    assert_eq!(table.apply(old, Instant::now()), TableChange::None);
     assert_eq!(candidate_count(&table), 1);
 }
 
@@ -84,10 +84,10 @@
     let now = Instant::now();
     table.remove(&EndpointId::from("a"), now);
     table.remove_expired(now);
-    assert_eq!(table.apply(endpoint("a")), TableChange::None);
+    assert_eq!(table.apply(endpoint("a"), Instant::now()), TableChange::None);
     let mut newer = endpoint("a");
     newer.sequence = 2;
-    assert_eq!(table.apply(newer), TableChange::Joined);
+    assert_eq!(table.apply(newer, Instant::now()), TableChange::Joined);
 }
 
 // An endpoint that restarts under its old id has a newer incarnation: the draining mark of the
@@ -101,6 +101,39 @@
     let mut restarted = endpoint("a");
     restarted.incarnation = 2;
     restarted.sequence = 0;
-    assert_eq!(table.apply(restarted), TableChange::Joined);
+    assert_eq!(table.apply(restarted, Instant::now()), TableChange::Joined);
+    assert_eq!(candidate_count(&table), 2);
+}
+
+// Guards against the use of an endpoint that has left: a list from an older copy of the store named
+// it once more with the record that was known when it left.
+#[tokio::test(start_paused = true)]
+async fn test_endpoints_old_list_does_not_bring_back_a_removed_endpoint() {
+    let mut table = new_table();
+    let in_use = endpoint("a");
+    let id = in_use.id.clone();
+    table.remove(&id, Instant::now());
+    table.replace(vec![endpoint("a"), endpoint("b")], Instant::now());
+    assert_eq!(candidate_count(&table), 1);
+    table.remove_expired(Instant::now());
+    table.replace(vec![endpoint("a"), endpoint("b")], Instant::now());
+    assert_eq!(candidate_count(&table), 1);
+}
+
+// Guards against the use of an endpoint that has said that it leaves: its record was removed, and a
+// later heartbeat of the same incarnation listed it as ready again.
+#[tokio::test(start_paused = true)]
+async fn test_endpoints_leaving_endpoint_stays_out_of_use_until_it_restarts() {
+    let mut table = new_table();
+    let id = EndpointId::from("a");
+    assert!(table.mark_draining(&id));
+    table.remove(&id, Instant::now());
+    table.remove_expired(Instant::now());
+    let mut listed = endpoint("a");
+    listed.sequence = 9;
+    table.apply(listed.clone(), Instant::now());
+    assert_eq!(candidate_count(&table), 1);
+    listed.incarnation += 1;
+    table.apply(listed, Instant::now());
     assert_eq!(candidate_count(&table), 2);
 }
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -7,6 +7,7 @@
 
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Config;
+use hawthornrack_entry::EndpointNotice;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Refusal;
 use hawthornrack_entry::RefusalKind;
@@ -30,6 +31,7 @@
     ScriptedSend::Fail(SendFailure::Rejected {
         status: 503,
         misdirected: false,
+        notice: EndpointNotice::default(),
     })
 }
 
@@ -277,3 +279,45 @@
     assert!(refusal.retry_after.is_some());
     assert_eq!(started.elapsed(), Duration::ZERO);
 }
+
+// Guards against requests to an endpoint that has said in a response that it leaves, while the
+// endpoint list still names it as ready.
+#[tokio::test(start_paused = true)]
+async fn test_serve_endpoint_that_says_it_leaves_gets_no_more_requests() {
+    let node = node(config(RouteKind::Once), 1);
+    let leaving = EndpointNotice {
+        leaving: true,
+        ..EndpointNotice::default()
+    };
+    let client = ScriptedClient::new([ScriptedSend::Notify(200, leaving)]);
+    assert_eq!(response_status(&node, &client).await, 200);
+    let refusal = expect_refusal(&node, &client).await;
+    assert_eq!(refusal.kind, RefusalKind::NoEndpoint);
+    assert_eq!(client.seen.lock().len(), 1);
+}
+
+// Guards against requests, retries and waiting requests that reach an endpoint within the time for
+// which it has asked for none, and against a Retry-After that brings the caller back too early.
+#[tokio::test(start_paused = true)]
+async fn test_serve_endpoint_that_asks_for_a_pause_gets_no_requests_until_its_end() {
+    let node = node(config(RouteKind::Idempotent), 1);
+    let pause = Duration::from_secs(3);
+    let rejected = ScriptedSend::Fail(SendFailure::Rejected {
+        status: 503,
+        misdirected: false,
+        notice: EndpointNotice {
+            leaving: false,
+            retry_after: Some(pause),
+        },
+    });
+    let client = ScriptedClient::new([rejected, ScriptedSend::Respond(200)]);
+    expect_refusal(&node, &client).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let refusal = expect_refusal(&node, &client).await;
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+    let after = refusal.retry_after.unwrap();
+    assert!(after >= Duration::from_millis(1_900), "{after:?}");
+    tokio::time::sleep(after).await;
+    assert_eq!(response_status(&node, &client).await, 200);
+    assert_eq!(client.seen.lock().len(), 2);
+}
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -16,6 +16,7 @@
 use hawthornrack_entry::DomainName;
 use hawthornrack_entry::EndpointClient;
 use hawthornrack_entry::EndpointId;
+use hawthornrack_entry::EndpointNotice;
 use hawthornrack_entry::EndpointRecord;
 use hawthornrack_entry::EndpointResponse;
 use hawthornrack_entry::EndpointState;
@@ -158,6 +159,8 @@
 pub enum ScriptedSend {
     /// Returns a complete response with this status.
     Respond(u16),
+    /// Returns a complete response with this status and notice.
+    Notify(u16, EndpointNotice),
     /// Streams chunks, then ends cleanly or with an error.
     Stream(Vec<&'static str>, Result<(), &'static str>),
     /// Streams chunks, then sends nothing more.
@@ -261,10 +264,13 @@
                 cancelled: Arc::clone(&self.cancelled),
             })
         };
+        let whole = || ResponseBody::Whole(Bytes::from_static(b"answer"));
+        let notice = match step {
+            ScriptedSend::Notify(_, notice) => notice,
+            _ => EndpointNotice::default(),
+        };
         let (status, body) = match step {
-            ScriptedSend::Respond(status) => {
-                (status, ResponseBody::Whole(Bytes::from_static(b"answer")))
-            }
+            ScriptedSend::Respond(status) | ScriptedSend::Notify(status, _) => (status, whole()),
             ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end))),
             ScriptedSend::Stall(chunks) => (200, stream(chunks, None)),
             ScriptedSend::Fail(failure) => return Err(failure),
@@ -275,6 +281,7 @@
             headers: HeaderMap::new(),
             body,
             closing: false,
+            notice,
         })
     }
 }
