quota: a customer's owner decides in a large system; streams progress by events

Ruled out: shares by entry, as each sees a customer's request every 8 s or so; a faster gossip, as the largest jump leaves less than 2 s. In systems of more than 40 entries one entry per customer, chosen by rendezvous hashing, decides; when it does not answer in 60 ms the entry decides as before.

A refund was taken for a restart of the peer, after which all that it had ever admitted was deducted again: totals now only grow and name the process (shown by test_quota_refunds_and_late_reports_of_a_peer_deduct_nothing_twice).

Streams: a comment counted as progress, so that a stalled stream with comments lasted until its deadline (test_serve_stream_progress_is_measured_in_events failed with 20 s).

--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -446,7 +446,9 @@
     fn may_contend(&self, now: BootTime) -> bool {
         let rank = contender_rank(&self.node);
         let steps = u32::try_from(rank / CONTENDERS_PER_STEP).unwrap_or(u32::MAX);
-        let delay = CONTENDER_STEP.saturating_mul(steps).min(MAX_CONTENDER_DELAY);
+        let delay = CONTENDER_STEP
+            .saturating_mul(steps)
+            .min(MAX_CONTENDER_DELAY);
         self.node.lease.lock().progress_age(now) >= delay
     }
 
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -181,7 +181,12 @@
     }
     if client.store_era() != era {
         // Offsets have gone back and are given out again, so that updates may be missing.
-        tracing::info!(event = "store_era_changed", ?feed, old = era.0, new = client.store_era().0);
+        tracing::info!(
+            event = "store_era_changed",
+            ?feed,
+            old = era.0,
+            new = client.store_era().0
+        );
         if feed == Feed::Endpoints {
             node.endpoints.lock().record_failed_read(Instant::now());
         }
--- a/entry/src/fleet.rs
+++ b/entry/src/fleet.rs
@@ -114,8 +114,14 @@
         let needed = self.peak_demand(demand.endpoints(), now);
         let spot = Self::spot_count(scaling, baseline, needed, domains);
         // Before the first request, the load that the operators expect is all that is known.
-        let expected = if needed > 0.0 { 0 } else { baseline * domains as u32 };
-        let required = ((needed * MIN_CAPACITY_FRACTION).ceil() as u32).max(expected).max(1);
+        let expected = if needed > 0.0 {
+            0
+        } else {
+            baseline * domains as u32
+        };
+        let required = ((needed * MIN_CAPACITY_FRACTION).ceil() as u32)
+            .max(expected)
+            .max(1);
         let on_demand_counts = self.on_demand_counts(scaling, fleet, required, spot, now);
         let mut orders = Vec::new();
         for (domain, on_demand) in on_demand_counts {
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -27,9 +27,12 @@
 use crate::EntryState;
 use crate::Node;
 use crate::PeerLoad;
+use crate::QuotaDecision;
+use crate::QuotaRequest;
 use crate::RelayedState;
 use crate::StateRevision;
 use crate::UsageDelivery;
+use crate::decide_quota;
 use crate::log_limit;
 use crate::wall_millis;
 
@@ -96,6 +99,10 @@
     /// Delivers the usage that the calling entry has counted.
     #[method(name = "usage")]
     async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()>;
+
+    /// Charges a customer's quota at the customer's owner.
+    #[method(name = "charge")]
+    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>>;
 }
 
 struct GossipHandler {
@@ -112,6 +119,10 @@
         self.node.members.lock().record_usage(&delivery);
         Ok(())
     }
+
+    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>> {
+        Ok(decide_quota(&self.node, &request))
+    }
 }
 
 /// Merges a peer's request and returns what the peer does not know.
@@ -183,9 +194,12 @@
         return;
     }
     let now = Instant::now();
-    node.quotas
-        .lock()
-        .record_peer(&name, &state.admitted, updated_at);
+    node.quotas.lock().record_peer(
+        &name,
+        state.revision.incarnation,
+        &state.quota_totals(),
+        updated_at,
+    );
     if let Some(view) = &state.lease {
         node.lease.lock().record_peer(view, BootTime::now());
     }
@@ -342,11 +356,7 @@
     }
 
     /// Delivers usage to the entry at an address; returns whether that entry confirmed it.
-    pub(crate) async fn deliver_usage(
-        &self,
-        address: SocketAddr,
-        delivery: UsageDelivery,
-    ) -> bool {
+    pub(crate) async fn deliver_usage(&self, address: SocketAddr, delivery: UsageDelivery) -> bool {
         let outcome = match self.client(address) {
             Ok(client) => client.usage(delivery).await,
             Err(error) => Err(error),
@@ -358,6 +368,21 @@
         outcome.is_ok()
     }
 
+    /// Asks the entry at an address to charge a customer's quota; `None` if it gives no decision.
+    pub(crate) async fn charge_quota(
+        &self,
+        address: SocketAddr,
+        request: QuotaRequest,
+    ) -> Option<QuotaDecision> {
+        let outcome = match self.client(address) {
+            Ok(client) => client.charge(request).await,
+            Err(error) => Err(error),
+        };
+        outcome
+            .inspect_err(|error| tracing::debug!(event = "quota_uncharged", %address, %error))
+            .ok()?
+    }
+
     async fn call(
         &self,
         address: SocketAddr,
--- a/entry/src/lease.rs
+++ b/entry/src/lease.rs
@@ -248,7 +248,10 @@
         let Some(progress) = self.last_progress else {
             return false;
         };
-        let is_released = self.last.as_ref().is_some_and(|r| r.released && r.era == self.era);
+        let is_released = self
+            .last
+            .as_ref()
+            .is_some_and(|r| r.released && r.era == self.era);
         let is_new = self.end == 0 && self.peer_end == 0 && !self.has_changed_era;
         if is_released || is_new || self.held_before_era {
             return true;
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -14,6 +14,7 @@
 use crate::EntryName;
 use crate::Fingerprint;
 use crate::LeaseView;
+use crate::QuotaTotals;
 use crate::RemovedEndpoint;
 use crate::Rollout;
 use crate::RolloutEvidence;
@@ -89,8 +90,12 @@
     /// Load that the entry places on endpoints.
     #[serde(rename = "shares")]
     pub loads: Vec<EndpointLoadReport>,
-    /// Quota units admitted for each customer since the entry's start.
+    /// Quota units admitted for each customer since the entry's start; customers without any are
+    /// missing.
     pub admitted: IndexMap<CustomerName, f64>,
+    /// Quota units returned for requests that did not run, as in `admitted`.
+    #[serde(default)]
+    pub refunded: IndexMap<CustomerName, f64>,
     /// Prompt tokens that endpoints had to prefill for the entry since its start, by service.
     pub prefilled: IndexMap<ServiceName, u64>,
     /// Counts of requests that endpoints responded to.
@@ -109,6 +114,20 @@
     pub removed: Vec<RemovedEndpoint>,
 }
 
+impl EntryState {
+    /// Returns what the entry has charged to each customer since its start.
+    pub fn quota_totals(&self) -> IndexMap<CustomerName, QuotaTotals> {
+        let totals = self.admitted.iter().map(|(customer, admitted)| {
+            let totals = QuotaTotals {
+                admitted: *admitted,
+                refunded: self.refunded.get(customer).copied().unwrap_or_default(),
+            };
+            (customer.clone(), totals)
+        });
+        totals.collect()
+    }
+}
+
 /// Returns the interval at which an entry publishes its state in a system of this size.
 pub fn refresh_interval(entries: usize) -> Duration {
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -24,6 +24,7 @@
 use crate::EntryName;
 use crate::EntryState;
 use crate::ExposureBounds;
+use crate::Gossip;
 use crate::LeaseState;
 use crate::MedianClock;
 use crate::Members;
@@ -111,6 +112,11 @@
     pub members: Mutex<Members>,
     /// Lease that decides which entry carries out the duties.
     pub lease: Mutex<LeaseState>,
+    /// Client for calls to peers.
+    pub gossip: Arc<Gossip>,
+    /// Entries that did not answer a request to charge a quota, with the time until which they are
+    /// passed over.
+    pub avoided_owners: Mutex<IndexMap<EntryName, Instant>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes requests that wait for a free slot.
@@ -145,6 +151,8 @@
             clock: Mutex::default(),
             members: Mutex::default(),
             lease: Mutex::default(),
+            gossip: Arc::default(),
+            avoided_owners: Mutex::default(),
             metrics,
             slot_freed: Notify::new(),
             gossip_now: Notify::new(),
@@ -319,6 +327,9 @@
         let settings = &self.settings;
         let (loads, draining) = self.endpoint_loads();
         let (rollouts, evidence) = self.rollout_state();
+        let charged = self.quotas.lock().own_totals();
+        let refunded = charged.iter().filter(|(_, t)| t.refunded > 0.0);
+        let refunded = refunded.map(|(c, t)| (c.clone(), t.refunded));
         EntryState {
             name: settings.name.clone(),
             revision: StateRevision {
@@ -332,7 +343,11 @@
             config: self.config().map_or(0, |c| c.version),
             lease: self.lease.lock().view(),
             loads,
-            admitted: self.quotas.lock().own_totals(),
+            admitted: charged
+                .iter()
+                .map(|(c, t)| (c.clone(), t.admitted))
+                .collect(),
+            refunded: refunded.collect(),
             prefilled: self.prefilled.lock().clone(),
             usage: self.usage.lock().newest(self.shared_window_count()),
             crashes: self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES),
--- a/entry/src/quota.rs
+++ b/entry/src/quota.rs
@@ -2,18 +2,21 @@
 //!
 //! A customer may send many times its usual rate through every entry at once. Each entry keeps a
 //! token bucket for the whole system, from which it deducts what it admits itself and what its
-//! peers report as admitted. Late reports can make the level negative; no request is admitted until
+//! peers report as charged. Late reports can make the level negative; no request is admitted until
 //! the refill has made up for it. For a silent peer, an equal share of the rate is deducted until
 //! its next report, which replaces what was deducted.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::CustomerName;
 use crate::EntryName;
 use crate::Quota;
+use crate::QuotaRequest;
 use crate::refresh_interval;
 
 /// Time without a report, in addition to [`REPORT_INTERVALS`] intervals, after which an equal share
@@ -23,9 +26,34 @@
 /// Number of intervals of the peers' reports within which each report usually arrives.
 const REPORT_INTERVALS: u32 = 2;
 
+/// Units that an entry has charged to one customer since its start; both numbers only grow, so that
+/// a late report never counts as a newer one.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct QuotaTotals {
+    /// Units of admitted requests.
+    pub admitted: f64,
+    /// Units returned for requests that did not run.
+    pub refunded: f64,
+}
+
+impl QuotaTotals {
+    fn used(self) -> f64 {
+        self.admitted - self.refunded
+    }
+
+    /// Returns the newer of two reports of one process.
+    fn max(self, other: Self) -> Self {
+        Self {
+            admitted: self.admitted.max(other.admitted),
+            refunded: self.refunded.max(other.refunded),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct PeerTotal {
-    total: f64,
+    incarnation: u64,
+    totals: QuotaTotals,
     updated_at: Instant,
     /// Units deducted since the last report without knowing what the peer admitted.
     assumed: f64,
@@ -37,7 +65,7 @@
     quota: Quota,
     level: f64,
     refilled_at: Instant,
-    own_total: f64,
+    own: QuotaTotals,
     peers: IndexMap<EntryName, PeerTotal>,
 }
 
@@ -125,18 +153,44 @@
         let needed = units.min(quota.burst.max(1.0));
         if bucket.level >= needed {
             bucket.level -= units;
-            bucket.own_total += units;
+            bucket.own.admitted += units;
             return Admission::Admitted;
         }
-        let wait = (needed - bucket.level) / quota.rate;
-        Admission::OverQuota(Duration::from_secs_f64(wait.min(60.0)))
+        over_quota(needed - bucket.level, quota)
+    }
+
+    /// Deducts the units of a peer's request from its customer's bucket, if the quota allows it.
+    pub fn admit_for_peer(
+        &mut self,
+        request: &QuotaRequest,
+        quota: Quota,
+        now: Instant,
+    ) -> Admission {
+        let bucket = self.bucket(&request.customer, quota, now);
+        bucket.record_peer(&request.entry, request.incarnation, request.totals, now);
+        let needed = request.units.min(quota.burst.max(1.0));
+        if quota.rate > 0.0 && bucket.level < needed {
+            return over_quota(needed - bucket.level, quota);
+        }
+        let mut totals = request.totals;
+        totals.admitted += request.units;
+        bucket.record_peer(&request.entry, request.incarnation, totals, now);
+        Admission::Admitted
+    }
+
+    /// Deducts the units of a request that the customer's owner has admitted.
+    pub fn record_charge(&mut self, customer: &CustomerName, units: f64) {
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.level -= units;
+            bucket.own.admitted += units;
+        }
     }
 
     /// Returns units to the bucket that were deducted for a request that did not run.
     pub fn refund(&mut self, customer: &CustomerName, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.level = (bucket.level + units).min(bucket.quota.burst);
-            bucket.own_total -= units;
+            bucket.own.refunded += units;
         }
     }
 
@@ -145,26 +199,36 @@
         self.buckets.get(customer).map(|bucket| bucket.level)
     }
 
-    /// Returns the units that this entry admitted for each customer since its start.
-    pub fn own_totals(&self) -> IndexMap<CustomerName, f64> {
-        let buckets = self.buckets.iter();
-        buckets.map(|(c, b)| (c.clone(), b.own_total)).collect()
+    /// Returns what this entry has charged to a customer since its start.
+    pub fn totals(&self, customer: &CustomerName) -> QuotaTotals {
+        self.buckets
+            .get(customer)
+            .map_or_else(QuotaTotals::default, |b| b.own)
     }
 
-    /// Deducts what a peer admitted since its previous report.
+    /// Returns what this entry has charged to each customer since its start.
+    pub fn own_totals(&self) -> IndexMap<CustomerName, QuotaTotals> {
+        let used = self
+            .buckets
+            .iter()
+            .filter(|(_, b)| b.own != QuotaTotals::default());
+        used.map(|(c, b)| (c.clone(), b.own)).collect()
+    }
+
+    /// Deducts what a peer charged since its previous report.
     ///
-    /// `totals` holds the units that the peer admitted for each customer since its start.
+    /// `totals` holds what the peer has charged to each customer since its start, at `incarnation`;
+    /// a customer that is missing has been charged nothing.
     pub fn record_peer(
         &mut self,
         peer: &EntryName,
-        totals: &IndexMap<CustomerName, f64>,
+        incarnation: u64,
+        totals: &IndexMap<CustomerName, QuotaTotals>,
         now: Instant,
     ) {
-        for (customer, total) in totals {
-            let Some(bucket) = self.buckets.get_mut(customer) else {
-                continue;
-            };
-            bucket.record_peer(peer, *total, now);
+        for (customer, bucket) in &mut self.buckets {
+            let totals = totals.get(customer).copied().unwrap_or_default();
+            bucket.record_peer(peer, incarnation, totals, now);
         }
     }
 
@@ -185,7 +249,7 @@
                 quota,
                 level: if starts_full { quota.burst } else { 0.0 },
                 refilled_at: now,
-                own_total: 0.0,
+                own: QuotaTotals::default(),
                 peers: IndexMap::new(),
             });
         bucket.refill(quota, group, now);
@@ -219,10 +283,17 @@
         sum
     }
 
-    fn record_peer(&mut self, peer: &EntryName, total: f64, now: Instant) {
+    fn record_peer(
+        &mut self,
+        peer: &EntryName,
+        incarnation: u64,
+        totals: QuotaTotals,
+        now: Instant,
+    ) {
         let Some(known) = self.peers.get_mut(peer) else {
             let known = PeerTotal {
-                total,
+                incarnation,
+                totals,
                 updated_at: now,
                 assumed: 0.0,
                 assumed_until: now,
@@ -230,15 +301,25 @@
             self.peers.insert(peer.clone(), known);
             return;
         };
-        // The total of a restarted peer starts again at zero.
-        let increase = if total >= known.total {
-            total - known.total
+        if incarnation < known.incarnation {
+            return;
+        }
+        // The totals of a restarted peer start again at zero.
+        let (before, newest) = if incarnation == known.incarnation {
+            (known.totals, known.totals.max(totals))
         } else {
-            total
+            (QuotaTotals::default(), totals)
         };
-        self.level += known.assumed - increase;
+        self.level += known.assumed - (newest.used() - before.used());
         known.assumed = 0.0;
-        known.total = total;
-        known.updated_at = now;
+        known.incarnation = incarnation;
+        known.totals = newest;
+        known.updated_at = known.updated_at.max(now);
     }
 }
+
+/// Returns the refusal of a request for which `missing` units are not refilled yet.
+fn over_quota(missing: f64, quota: Quota) -> Admission {
+    let wait = missing / quota.rate;
+    Admission::OverQuota(Duration::from_secs_f64(wait.clamp(0.0, 60.0)))
+}
--- /dev/null
+++ b/entry/src/quota_owner.rs
@@ -0,0 +1,126 @@
+//! Asks one entry per customer whether a request is within the customer's quota.
+//!
+//! In a large system the totals of peers arrive seconds late by gossip, so that a customer whose
+//! load jumps would use several times its quota before the entries notice. One live entry, the
+//! customer's owner, therefore decides for all. It is chosen by rendezvous hashing, so that entries
+//! agree on it without coordination. Entries that know different members may ask different owners;
+//! each owner learns of the others' decisions by gossip.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::Admission;
+use crate::Customer;
+use crate::CustomerName;
+use crate::EntryName;
+use crate::Node;
+use crate::QuotaTotals;
+use crate::refresh_interval;
+
+/// Maximum refresh interval at which each entry decides by itself on what its peers report.
+const MAX_LOCAL_REFRESH: Duration = Duration::from_millis(600);
+
+/// Time within which an owner must have answered.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Time for which an owner that did not answer is passed over.
+const AVOIDANCE_TIME: Duration = Duration::from_secs(1);
+
+/// Request of an entry to charge a customer's quota.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct QuotaRequest {
+    /// Entry that asks.
+    pub entry: EntryName,
+    /// Start of the entry's process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Customer whose quota is charged.
+    pub customer: CustomerName,
+    /// What the entry has charged so far.
+    pub totals: QuotaTotals,
+    /// Units to charge.
+    pub units: f64,
+}
+
+/// Decision of a customer's owner.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaDecision {
+    /// Time after which the request may be admitted, in milliseconds; `None` if it is admitted now.
+    pub wait_ms: Option<u64>,
+}
+
+/// Charges a request to its customer's quota, by the customer's owner in a large system.
+///
+/// Without an answer of the owner, this entry decides by what it knows itself.
+pub(crate) async fn charge(node: &Node, customer: &Customer, units: f64) -> Admission {
+    let is_large = refresh_interval(node.entry_count()) > MAX_LOCAL_REFRESH;
+    if is_large && customer.quota.rate > 0.0 {
+        let asked = ask_owner(node, customer, units);
+        if let Ok(Some(admission)) = tokio::time::timeout(ASK_TIMEOUT, asked).await {
+            return admission;
+        }
+    }
+    let mut quotas = node.quotas.lock();
+    quotas.admit(&customer.name, customer.quota, units, Instant::now())
+}
+
+/// Returns the decision of the owner; `None` if this entry is the owner or the owner gives none.
+async fn ask_owner(node: &Node, customer: &Customer, units: f64) -> Option<Admission> {
+    let (owner, address) = find_owner(node, &customer.name)?;
+    let request = QuotaRequest {
+        entry: node.settings.name.clone(),
+        incarnation: node.incarnation(),
+        customer: customer.name.clone(),
+        totals: node.quotas.lock().totals(&customer.name),
+        units,
+    };
+    // Passed over until it has answered, also if this call is dropped at its timeout.
+    let until = Instant::now() + AVOIDANCE_TIME;
+    let previous = node.avoided_owners.lock().insert(owner.clone(), until);
+    let decision = node.gossip.charge_quota(address, request).await?;
+    let mut avoided = node.avoided_owners.lock();
+    match previous {
+        Some(previous) => avoided.insert(owner, previous),
+        None => avoided.swap_remove(&owner),
+    };
+    drop(avoided);
+    let Some(wait_ms) = decision.wait_ms else {
+        node.quotas.lock().record_charge(&customer.name, units);
+        return Some(Admission::Admitted);
+    };
+    Some(Admission::OverQuota(Duration::from_millis(wait_ms)))
+}
+
+/// Returns the ready entry with the highest hash for the customer; `None` if that is this one.
+fn find_owner(node: &Node, customer: &CustomerName) -> Option<(EntryName, SocketAddr)> {
+    let seed = xxhash_rust::xxh3::xxh3_64(customer.as_str().as_bytes());
+    let hash =
+        |name: &EntryName| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), seed);
+    let now = Instant::now();
+    let avoided = node.avoided_owners.lock();
+    let is_avoided = |name: &EntryName| avoided.get(name).is_some_and(|until| now < *until);
+    let members = node.members.lock();
+    let ready = members.live(now).filter(|p| p.state.ready);
+    let peers = ready.filter(|p| !is_avoided(&p.state.name));
+    let owner = peers.max_by_key(|p| hash(&p.state.name))?;
+    let is_own = hash(&node.settings.name) >= hash(&owner.state.name);
+    (!is_own).then(|| (owner.state.name.clone(), owner.state.peer_address))
+}
+
+/// Decides on a peer's request as the owner of its customer; `None` if the customer is unknown.
+pub fn decide_quota(node: &Node, request: &QuotaRequest) -> Option<QuotaDecision> {
+    let config = node.config()?;
+    let mut customers = config.customers.iter();
+    let customer = customers.find(|c| c.name == request.customer)?;
+    let mut quotas = node.quotas.lock();
+    let admission = quotas.admit_for_peer(request, customer.quota, Instant::now());
+    Some(QuotaDecision {
+        wait_ms: match admission {
+            Admission::Admitted => None,
+            Admission::OverQuota(wait) => Some(crate::millis(wait)),
+        },
+    })
+}
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::SendFailure;
 use crate::attempt::Attempts;
 use crate::reservation::Reservation;
+use crate::sse::has_event;
 
 /// Multiple of the route's maximum pause after which a resumable stream is resumed elsewhere.
 const RESUME_PAUSE_FACTOR: u32 = 3;
@@ -44,6 +45,8 @@
     attempts: Attempts,
     source: Option<Source<E>>,
     splitter: EventSplitter,
+    /// Start of the wait for the next event; comments do not end it.
+    waiting_since: Option<Instant>,
     first: Option<Bytes>,
     _in_flight: InFlightGuard,
 }
@@ -76,6 +79,7 @@
             attempts,
             source: Some(Source { body, reservation }),
             splitter: EventSplitter::default(),
+            waiting_since: None,
             first: None,
             _in_flight: in_flight,
         }
@@ -116,12 +120,16 @@
                 return Ok(None);
             };
             let limit = event_timeout(&self.attempts);
-            let until = (Instant::now() + limit).min(self.attempts.request.deadline);
+            let since = *self.waiting_since.get_or_insert_with(Instant::now);
+            let until = (since + limit).min(self.attempts.request.deadline);
             match read_events(source, &mut self.splitter, until).await {
                 ReadOutcome::Events(events) => {
                     if let Some(id) = self.splitter.last_id() {
                         self.attempts.last_event = Some(id);
                     }
+                    if has_event(&events) {
+                        self.waiting_since = None;
+                    }
                     return Ok(Some(events));
                 }
                 ReadOutcome::End => {
@@ -142,6 +150,7 @@
                 .record_stream_failure(&self.node, &source.reservation, &failure);
         }
         self.splitter.discard_partial();
+        self.waiting_since = None;
         self.attempts.may_have_run = true;
         if !self.attempts.kind().is_retryable() || !self.attempts.take_retry(&self.node) {
             return Err(StreamBroken(reason));
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::attempt::AdmittedRequest;
 use crate::attempt::Attempts;
 use crate::log_limit;
+use crate::quota_owner;
 use crate::reservation::Reservation;
 
 /// Retry-After while no configuration or endpoint list is known.
@@ -76,7 +77,7 @@
 ) -> CallerResponse<E> {
     let _in_flight = node.track_request();
     let call = Arc::new(call);
-    let response = match admit(node, &call) {
+    let response = match admit(node, &call).await {
         Ok(admitted) => run(node, client, admitted).await,
         Err(refusal) => CallerResponse::Refused(refusal),
     };
@@ -86,7 +87,7 @@
 
 /// Checks configuration, route, customer, shutdown, crash record, endpoint list and quota, in this
 /// order, and charges the quota.
-fn admit(node: &Arc<Node>, call: &Arc<Call>) -> Result<AdmittedRequest, Refusal> {
+async fn admit(node: &Arc<Node>, call: &Arc<Call>) -> Result<AdmittedRequest, Refusal> {
     let Some(config) = node.config() else {
         return Err(Refusal::with_retry_after(
             RefusalKind::NoConfig,
@@ -116,9 +117,8 @@
             STARTUP_RETRY_AFTER,
         ));
     }
-    let now = Instant::now();
     if let Some(customer) = customer {
-        charge(node, customer, call, now)?;
+        charge(node, customer, call).await?;
     }
     let timeout = call.timeout.unwrap_or(route.timeout).min(route.timeout);
     let admitted = AdmittedRequest {
@@ -172,12 +172,10 @@
     }
 }
 
-fn charge(node: &Node, customer: &Customer, call: &Call, now: Instant) -> Result<(), Refusal> {
+async fn charge(node: &Node, customer: &Customer, call: &Call) -> Result<(), Refusal> {
     let units = quota_units(call, customer.quota.unit);
-    let mut quotas = node.quotas.lock();
-    let admission = quotas.admit(&customer.name, customer.quota, units, now);
-    let left = quotas.remaining(&customer.name);
-    drop(quotas);
+    let admission = quota_owner::charge(node, customer, units).await;
+    let left = node.quotas.lock().remaining(&customer.name);
     let Admission::OverQuota(wait) = admission else {
         return Ok(());
     };
--- a/entry/src/sse.rs
+++ b/entry/src/sse.rs
@@ -8,6 +8,9 @@
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Length of the longest event boundary, in bytes.
+const MAX_BOUNDARY_BYTES: usize = 4;
+
 /// Error of an event that exceeds 1 MiB.
 #[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
 #[displaydoc("an event is larger than 1 MiB")]
@@ -27,14 +30,16 @@
     ///
     /// Returns [`EventTooLarge`] when the buffer exceeds 1 MiB without a complete event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        // The bytes before hold no event boundary, but may hold the first part of one.
+        let scan_start = self.partial.len().saturating_sub(MAX_BOUNDARY_BYTES - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = complete_len(&self.partial) else {
+        let Some(end) = complete_len(&self.partial[scan_start..]) else {
             if self.partial.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLarge);
             }
             return Ok(None);
         };
-        let complete = self.partial.split_to(end).freeze();
+        let complete = self.partial.split_to(scan_start + end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -57,6 +62,12 @@
     }
 }
 
+/// Returns whether bytes of a stream hold an event, and not only comments or empty lines.
+pub(crate) fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|b| *b == b'\n' || *b == b'\r');
+    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+}
+
 fn complete_len(bytes: &[u8]) -> Option<usize> {
     let after_lf = rfind(bytes, b"\n\n").map(|at| at + 2);
     let after_crlf = rfind(bytes, b"\r\n\r\n").map(|at| at + 4);
