feed: a few entries of a large domain read the endpoint list and pass it on

In a domain with 12 entries or more two of them, ranked by hash, now read it four times as often and pass on what changed; the others read it only when no page has come within the batch delay, when a page is missing in between, or when the store changed its era. The lag of the list at an entry stays within the batch delay.

Ruled out: longer batch delays, which break the drain period; passing on by gossip, which takes seconds at that size.

--- /dev/null
+++ b/entry/src/endpoint_relay.rs
@@ -0,0 +1,207 @@
+//! Readers of the endpoint list in a large system, and the pages that they pass on.
+//!
+//! If every entry read the list, the calls to the platform would grow with the number of entries.
+//! In a failure domain with many entries a few of them read it often and pass on what they read. The
+//! other entries read it themselves only when no page has come for a while, or when one is missing
+//! between the last page and theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::EndpointId;
+use crate::EndpointRecord;
+use crate::EntryName;
+use crate::Feed;
+use crate::Node;
+use crate::StoreEra;
+use crate::Update;
+use crate::Updates;
+use crate::feed::apply_update;
+use crate::feed::batch_delay;
+
+/// Number of readers in each failure domain, so that one may fail.
+const READERS_PER_DOMAIN: usize = 2;
+
+/// Minimum number of entries in a failure domain for some of them not to read the list; in a smaller
+/// one the readers would make more calls than all its entries do otherwise.
+const MIN_DOMAIN_ENTRIES: usize = 12;
+
+/// Maximum number of concurrent calls when a page is passed on.
+const MAX_CONCURRENT_CALLS: usize = 16;
+
+/// Time within which an entry must have accepted a page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Position in a feed; it is valid in one era of the store only.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Position {
+    pub(crate) offset: u64,
+    pub(crate) era: StoreEra,
+}
+
+/// How much of the endpoint list an entry knows.
+#[derive(Debug, Default)]
+pub struct ListCursor {
+    /// Position after the last known update; `None` until a snapshot has been read.
+    position: Option<Position>,
+    /// Time as of which all updates are known.
+    known_at: Option<Instant>,
+}
+
+impl ListCursor {
+    pub(crate) fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Records that all updates before `position` and until `known_at` are known.
+    pub(crate) fn advance(&mut self, position: Position, known_at: Instant) {
+        let older = self.position.filter(|p| p.era == position.era);
+        let offset = older.map_or(0, |p| p.offset).max(position.offset);
+        self.position = Some(Position { offset, ..position });
+        self.known_at = self.known_at.max(Some(known_at));
+    }
+
+    /// Makes the next read start from a snapshot.
+    pub(crate) fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        self.known_at
+            .map_or(Duration::MAX, |at| now.duration_since(at))
+    }
+}
+
+/// Part that an entry takes in reading the endpoint list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListRole {
+    /// Reads the list for itself only.
+    Single,
+    /// Reads the list and passes on what it reads.
+    Reader,
+    /// Takes pages from readers.
+    Follower,
+}
+
+/// Updates of the endpoint list that a reader passes on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EndpointPage {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Offset of the first update.
+    pub from: u64,
+    /// Offset after the last update.
+    pub to: u64,
+    /// Time since all updates before `to` were known to be all, in milliseconds.
+    pub age_ms: u64,
+    /// New states of endpoints.
+    pub records: Vec<EndpointRecord>,
+    /// Endpoints that were removed from the list.
+    pub removed: Vec<EndpointId>,
+}
+
+impl EndpointPage {
+    /// Builds the page of a read from `from`; leaves out records that change nothing but their
+    /// sequence number.
+    pub(crate) fn new(node: &Node, from: Position, read: &Updates, known_at: Instant) -> Self {
+        let mut endpoints = node.endpoints.lock();
+        let mut page = Self {
+            era: from.era,
+            from: from.offset,
+            to: read.next_position,
+            age_ms: crate::millis(known_at.elapsed()),
+            records: Vec::new(),
+            removed: Vec::new(),
+        };
+        for update in &read.updates {
+            match update {
+                Update::Endpoint(record) => {
+                    let known = endpoints.by_id_mut(&record.id);
+                    if known.is_none_or(|e| !e.record.differs_in_sequence_only(record)) {
+                        page.records.push(record.clone());
+                    }
+                }
+                Update::Removed(id) => page.removed.push(id.clone()),
+                Update::Config(_) | Update::Rollout(_) => {}
+            }
+        }
+        page
+    }
+}
+
+/// Returns the part that this entry takes in reading the endpoint list.
+pub fn list_role(node: &Node) -> ListRole {
+    let hash = |name: &EntryName| xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes());
+    let own = hash(&node.settings.name);
+    let members = node.members.lock();
+    let live = members.live(Instant::now());
+    let hashes = live
+        .filter(|p| p.state.domain == node.settings.domain)
+        .map(|p| hash(&p.state.name));
+    let (mut peers, mut rank) = (0, 0);
+    for hash in hashes {
+        peers += 1;
+        rank += usize::from(hash < own);
+    }
+    if peers + 1 < MIN_DOMAIN_ENTRIES {
+        ListRole::Single
+    } else if rank < READERS_PER_DOMAIN {
+        ListRole::Reader
+    } else {
+        ListRole::Follower
+    }
+}
+
+/// Returns whether readers keep this entry's list recent enough, so that it need not read it.
+pub fn is_list_supplied(node: &Node) -> bool {
+    let age = node.list.lock().age(Instant::now());
+    age < batch_delay(node, Feed::Endpoints) && list_role(node) == ListRole::Follower
+}
+
+/// Applies a page; returns `false` without any effect if updates before it are missing.
+pub fn apply_page(node: &Node, page: EndpointPage) -> bool {
+    let position = node.list.lock().position();
+    let follows = position.is_some_and(|p| p.era == page.era && p.offset >= page.from);
+    if !follows {
+        return false;
+    }
+    for record in page.records {
+        apply_update(node, Update::Endpoint(record));
+    }
+    for id in page.removed {
+        apply_update(node, Update::Removed(id));
+    }
+    let now = Instant::now();
+    let known_at = now.checked_sub(Duration::from_millis(page.age_ms));
+    let position = Position {
+        offset: page.to,
+        era: page.era,
+    };
+    node.list.lock().advance(position, known_at.unwrap_or(now));
+    true
+}
+
+/// Passes a page on to the live entries of the failure domain.
+pub(crate) async fn pass_on(node: &Arc<Node>, page: &EndpointPage) {
+    let addresses: Vec<SocketAddr> = {
+        let members = node.members.lock();
+        let live = members.live(Instant::now());
+        let same = live.filter(|p| p.state.domain == node.settings.domain);
+        same.map(|p| p.state.peer_address).collect()
+    };
+    stream::iter(addresses)
+        .for_each_concurrent(MAX_CONCURRENT_CALLS, |address| async move {
+            let call = node.gossip.send_page(address, page.clone());
+            if tokio::time::timeout(PAGE_TIMEOUT, call).await.is_err() {
+                tracing::debug!(event = "page_unconfirmed", %address);
+            }
+        })
+        .await;
+}
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -70,6 +70,18 @@
     pub sequence: u64,
 }
 
+impl EndpointRecord {
+    /// Returns whether another record of the endpoint says the same at another time.
+    pub(crate) fn differs_in_sequence_only(&self, other: &Self) -> bool {
+        let same = Self {
+            sequence: other.sequence,
+            warm_up: other.warm_up,
+            ..self.clone()
+        };
+        same == *other
+    }
+}
+
 /// An endpoint that was removed from the list, with the revision of its last record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RemovedEndpoint {
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -8,12 +8,18 @@
 
 use crate::Config;
 use crate::EndpointId;
+use crate::EndpointPage;
 use crate::EndpointRecord;
 use crate::EntryName;
+use crate::ListRole;
 use crate::Node;
 use crate::RolloutOrder;
 use crate::StoreEra;
 use crate::TableChange;
+use crate::endpoint_relay::Position;
+use crate::endpoint_relay::pass_on;
+use crate::is_list_supplied;
+use crate::list_role;
 
 /// Minimum time that a read waits for the first update.
 const MIN_POLL_WAIT: Duration = Duration::from_secs(5);
@@ -30,6 +36,13 @@
 /// Batch delay per entry, which bounds the total rate of reads by all entries.
 const BATCH_DELAY_PER_ENTRY: Duration = Duration::from_millis(50);
 
+/// Divisor of the batch delay that gives the poll wait and the delay of an entry that reads for its
+/// failure domain, so that the others know its updates within the batch delay.
+const READER_DIVISOR: u32 = 4;
+
+/// Interval at which an entry checks whether it has to read the endpoint list itself.
+const SUPPLY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum batch delay as a fraction of the drain period, so that a draining endpoint is known
 /// before it stops serving.
 const MAX_BATCH_DELAY_FRACTION: f64 = 0.55;
@@ -121,19 +134,20 @@
     ) -> impl Future<Output = Result<Vec<(EntryName, SocketAddr)>, FeedError>> + Send;
 }
 
-/// Position of the next read of a feed; it is valid in one era of the store only.
-#[derive(Clone, Copy, Debug)]
-struct Position {
-    offset: u64,
-    era: StoreEra,
-}
-
 /// Applies a feed's updates to the node until the process ends, retrying with backoff.
 pub async fn follow_feed<E: FeedClient>(client: Arc<E>, node: Arc<Node>, feed: Feed) {
     let mut from = None;
     let mut backoff = INITIAL_BACKOFF;
     let mut reachable = true;
     loop {
+        if feed == Feed::Endpoints {
+            if is_list_supplied(&node) {
+                tokio::time::sleep(SUPPLY_CHECK_INTERVAL).await;
+                continue;
+            }
+            // Pages that readers have passed on may have moved it.
+            from = node.list.lock().position();
+        }
         match read_next(&*client, &node, feed, from).await {
             Ok(next) => {
                 if !std::mem::replace(&mut reachable, true) {
@@ -159,14 +173,38 @@
 /// Reads the feed once; returns the next position, or `None` to start over from a snapshot.
 async fn read_next<E: FeedClient>(
     client: &E,
-    node: &Node,
+    node: &Arc<Node>,
+    feed: Feed,
+    from: Option<Position>,
+) -> Result<Option<Position>, FeedError> {
+    let next = read_from(client, node, feed, from).await?;
+    if feed == Feed::Endpoints && next.is_none() {
+        node.list.lock().reset();
+    }
+    Ok(next)
+}
+
+async fn read_from<E: FeedClient>(
+    client: &E,
+    node: &Arc<Node>,
     feed: Feed,
     from: Option<Position>,
 ) -> Result<Option<Position>, FeedError> {
-    let Some(Position { offset: from, era }) = from else {
+    let Some(position) = from else {
         return read_snapshot(client, node, feed).await;
     };
-    let Some(read) = client.read(feed, from, poll_wait(node)).await? else {
+    let Position { offset: from, era } = position;
+    let role = match feed {
+        Feed::Orders => ListRole::Single,
+        Feed::Endpoints => list_role(node),
+    };
+    let wait = match role {
+        ListRole::Single => poll_wait(node),
+        ListRole::Reader => batch_delay(node, feed) / READER_DIVISOR,
+        ListRole::Follower => Duration::ZERO,
+    };
+    let started = Instant::now();
+    let Some(read) = client.read(feed, from, wait).await? else {
         tracing::info!(event = "history_gone", ?feed, from);
         return Ok(None);
     };
@@ -193,16 +231,32 @@
         return Ok(None);
     }
     let has_updates = read.next_position > from;
+    // A response without updates was given at the end of the wait.
+    let known_at = if has_updates { started } else { started + wait };
+    let known_at = known_at.min(Instant::now());
+    let page =
+        (role == ListRole::Reader).then(|| EndpointPage::new(node, position, &read, known_at));
     for update in read.updates {
         apply_update(node, update);
     }
-    if has_updates {
-        tokio::time::sleep(batch_delay(node, feed)).await;
-    }
-    Ok(Some(Position {
+    let next = Position {
         offset: read.next_position,
         era,
-    }))
+    };
+    if feed == Feed::Endpoints {
+        node.list.lock().advance(next, known_at);
+    }
+    if let Some(page) = page {
+        pass_on(node, &page).await;
+    }
+    if has_updates {
+        let delay = match role {
+            ListRole::Reader => batch_delay(node, feed) / READER_DIVISOR,
+            _ => batch_delay(node, feed),
+        };
+        tokio::time::sleep(delay).await;
+    }
+    Ok(Some(next))
 }
 
 /// Reads the current content of the feed; returns the next position, or `None` to read it again
@@ -213,16 +267,21 @@
     feed: Feed,
 ) -> Result<Option<Position>, FeedError> {
     let before = client.store_era();
+    let started = Instant::now();
     let snapshot = client.snapshot(feed).await?;
     let era = client.store_era();
     if before != StoreEra::default() && before != era {
         return Ok(None);
     }
     apply_snapshot(node, feed, snapshot.updates);
-    Ok(Some(Position {
+    let next = Position {
         offset: snapshot.next_position,
         era,
-    }))
+    };
+    if feed == Feed::Endpoints {
+        node.list.lock().advance(next, started);
+    }
+    Ok(Some(next))
 }
 
 /// Returns how long a read waits for the first update, by the number of entries.
@@ -271,7 +330,7 @@
     }
 }
 
-fn apply_update(node: &Node, update: Update) {
+pub(crate) fn apply_update(node: &Node, update: Update) {
     match update {
         Update::Config(config) => {
             node.apply_config(*config, "store");
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -22,6 +22,7 @@
 
 use crate::BootTime;
 use crate::Config;
+use crate::EndpointPage;
 use crate::EndpointRecord;
 use crate::EntryName;
 use crate::EntryState;
@@ -32,6 +33,7 @@
 use crate::RelayedState;
 use crate::StateRevision;
 use crate::UsageDelivery;
+use crate::apply_page;
 use crate::decide_quota;
 use crate::log_limit;
 use crate::wall_millis;
@@ -100,6 +102,10 @@
     #[method(name = "usage")]
     async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()>;
 
+    /// Passes on updates of the endpoint list; returns whether they were applied.
+    #[method(name = "endpoints")]
+    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool>;
+
     /// Charges a customer's quota at the customer's owner.
     #[method(name = "charge")]
     async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>>;
@@ -120,6 +126,10 @@
         Ok(())
     }
 
+    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool> {
+        Ok(apply_page(&self.node, page))
+    }
+
     async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>> {
         Ok(decide_quota(&self.node, &request))
     }
@@ -368,6 +378,17 @@
         outcome.is_ok()
     }
 
+    /// Passes a page of the endpoint list on to the entry at an address.
+    pub(crate) async fn send_page(&self, address: SocketAddr, page: EndpointPage) {
+        let outcome = match self.client(address) {
+            Ok(client) => client.endpoints(page).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = outcome {
+            tracing::debug!(event = "page_unsent", %address, %error);
+        }
+    }
+
     /// Asks the entry at an address to charge a customer's quota; `None` if it gives no decision.
     pub(crate) async fn charge_quota(
         &self,
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -26,6 +26,7 @@
 use crate::ExposureBounds;
 use crate::Gossip;
 use crate::LeaseState;
+use crate::ListCursor;
 use crate::MedianClock;
 use crate::Members;
 use crate::Metrics;
@@ -92,6 +93,8 @@
     pub settings: EntrySettings,
     /// Endpoints of all services.
     pub endpoints: Mutex<EndpointTable>,
+    /// How much of the endpoint list is known.
+    pub list: Mutex<ListCursor>,
     /// Quotas of customers.
     pub quotas: Mutex<QuotaLedger>,
     /// Retry budget by service.
@@ -141,6 +144,7 @@
     pub fn new(settings: EntrySettings, metrics: Metrics) -> Arc<Self> {
         let node = Self {
             endpoints: Mutex::default(),
+            list: Mutex::default(),
             quotas: Mutex::new(QuotaLedger::new(settings.first_start)),
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
--- /dev/null
+++ b/entry/tests/test_relay.rs
@@ -0,0 +1,161 @@
+//! Pages of the endpoint list that a few entries of a failure domain read and pass on.
+
+mod testutils;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornrack_entry::EndpointPage;
+use hawthornrack_entry::EntryName;
+use hawthornrack_entry::Feed;
+use hawthornrack_entry::FeedClient;
+use hawthornrack_entry::FeedError;
+use hawthornrack_entry::ListRole;
+use hawthornrack_entry::Node;
+use hawthornrack_entry::RouteKind;
+use hawthornrack_entry::ServiceName;
+use hawthornrack_entry::StoreEra;
+use hawthornrack_entry::Updates;
+use hawthornrack_entry::apply_page;
+use hawthornrack_entry::follow_feed;
+use hawthornrack_entry::list_role;
+use parking_lot::Mutex;
+use testutils::config;
+use testutils::endpoint;
+use testutils::node;
+use testutils::settings;
+use tokio::time::Instant;
+
+/// Number of entries in the failure domain.
+const ENTRIES: usize = 40;
+
+/// Store whose list does not change; counts the reads.
+#[derive(Debug, Default)]
+struct QuietStore {
+    reads: Mutex<usize>,
+}
+
+impl FeedClient for QuietStore {
+    fn store_era(&self) -> StoreEra {
+        StoreEra(1)
+    }
+
+    async fn snapshot(&self, _feed: Feed) -> Result<Updates, FeedError> {
+        Ok(Updates {
+            updates: Vec::new(),
+            next_position: 10,
+        })
+    }
+
+    async fn read(
+        &self,
+        _feed: Feed,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Option<Updates>, FeedError> {
+        *self.reads.lock() += 1;
+        tokio::time::sleep(wait).await;
+        Ok(Some(Updates {
+            updates: Vec::new(),
+            next_position: from,
+        }))
+    }
+
+    async fn announce(
+        &self,
+        _name: &EntryName,
+        _address: std::net::SocketAddr,
+    ) -> Result<(), FeedError> {
+        Ok(())
+    }
+
+    async fn announced_entries(&self) -> Result<Vec<(EntryName, std::net::SocketAddr)>, FeedError> {
+        Ok(Vec::new())
+    }
+}
+
+/// Returns the entries of a domain, each of which knows all others.
+fn entries() -> Vec<Arc<Node>> {
+    let metrics = node(config(RouteKind::Once), 1).metrics.clone();
+    let names = (0..ENTRIES).map(|n| format!("entry-{n}"));
+    let nodes = names.map(|name| Node::new(settings(&name), metrics.clone()));
+    let nodes: Vec<_> = nodes.collect();
+    let states: Vec<_> = nodes.iter().map(|n| n.own_state()).collect();
+    for node in &nodes {
+        let others = states.iter().filter(|s| s.name != node.settings.name);
+        for state in others {
+            node.members.lock().merge(state.clone(), Instant::now());
+        }
+    }
+    nodes
+}
+
+fn page(from: u64, to: u64) -> EndpointPage {
+    EndpointPage {
+        era: StoreEra(1),
+        from,
+        to,
+        age_ms: 0,
+        records: vec![endpoint(&format!("e{to}"))],
+        removed: Vec::new(),
+    }
+}
+
+fn candidate_count(node: &Node) -> usize {
+    let service = ServiceName::from("desk");
+    let endpoints = node.endpoints.lock();
+    endpoints.candidates(&service, Instant::now()).count()
+}
+
+// Guards against calls to the platform that grow with the number of entries.
+#[tokio::test(start_paused = true)]
+async fn test_relay_two_entries_of_a_large_domain_read_the_list() {
+    let nodes = entries();
+    let roles: Vec<_> = nodes.iter().map(|n| list_role(n)).collect();
+    let readers = roles.iter().filter(|r| **r == ListRole::Reader);
+    assert_eq!(readers.count(), 2);
+    let lone = node(config(RouteKind::Once), 1);
+    assert_eq!(list_role(&lone), ListRole::Single);
+}
+
+// Guards against a follower that takes a page although it lacks the updates before it: it would
+// never learn of them. It must read the list itself, and then goes on with pages.
+#[tokio::test(start_paused = true)]
+async fn test_relay_page_after_a_gap_is_not_applied() {
+    let nodes = entries();
+    let follower = nodes.iter().find(|n| list_role(n) == ListRole::Follower);
+    let follower = follower.unwrap();
+    assert!(!apply_page(follower, page(10, 11)), "no snapshot was read");
+    let store = Arc::new(QuietStore::default());
+    let followed = follow_feed(Arc::clone(&store), Arc::clone(follower), Feed::Endpoints);
+    let _ = tokio::time::timeout(Duration::from_millis(50), followed).await;
+    assert!(apply_page(follower, page(10, 12)));
+    assert!(!apply_page(follower, page(13, 14)));
+    assert!(apply_page(follower, page(11, 13)));
+    assert!(apply_page(follower, page(13, 14)));
+    assert_eq!(candidate_count(follower), 3);
+    let mut foreign = page(14, 15);
+    foreign.era = StoreEra(2);
+    assert!(!apply_page(follower, foreign));
+}
+
+// Guards against a follower that relies on readers which have stopped: it must read the list itself
+// within the batch delay, and not at all while pages come.
+#[tokio::test(start_paused = true)]
+async fn test_relay_follower_reads_the_list_when_no_pages_come() {
+    let nodes = entries();
+    let follower = nodes.iter().find(|n| list_role(n) == ListRole::Follower);
+    let follower = Arc::clone(follower.unwrap());
+    let store = Arc::new(QuietStore::default());
+    let followed = follow_feed(Arc::clone(&store), Arc::clone(&follower), Feed::Endpoints);
+    let task = tokio::spawn(followed);
+    for offset in 10..30 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        apply_page(&follower, page(offset, offset + 1));
+    }
+    assert_eq!(*store.reads.lock(), 0);
+    // The batch delay is limited to 0.55 of the drain period of 2 s.
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    assert!(*store.reads.lock() >= 1);
+    task.abort();
+}
