--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -14,6 +14,9 @@
 /// Maximum size of a response that is buffered, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time within which the body of a rejection must have ended for its connection to be reused.
+pub const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// One send of a request to one endpoint.
 #[derive(Clone, Debug)]
 pub struct Dispatch<'a> {
--- a/entry/src/endpoint_relay.rs
+++ b/entry/src/endpoint_relay.rs
@@ -198,7 +198,7 @@
     };
     stream::iter(addresses)
         .for_each_concurrent(MAX_CONCURRENT_CALLS, |address| async move {
-            let call = node.gossip.send_page(address, page.clone());
+            let call = node.peers.send_page(address, page.clone());
             if tokio::time::timeout(PAGE_TIMEOUT, call).await.is_err() {
                 tracing::debug!(event = "page_unconfirmed", %address);
             }
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Push-pull gossip between entries over JSON-RPC: in each round an entry sends its own state and a
+//! Push-pull gossip between entries: in each round an entry sends its own state and a
 //! digest of the known states to one peer, which returns the newer ones.
 
 use std::net::SocketAddr;
@@ -6,14 +6,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use jsonrpsee::core::ClientError;
-use jsonrpsee::core::RpcResult;
-use jsonrpsee::core::async_trait;
-use jsonrpsee::http_client::HttpClient;
-use jsonrpsee::http_client::HttpClientBuilder;
-use jsonrpsee::proc_macros::rpc;
-use jsonrpsee::server::ServerBuilder;
-use parking_lot::Mutex;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
@@ -22,19 +14,13 @@
 
 use crate::BootTime;
 use crate::Config;
-use crate::EndpointPage;
 use crate::EndpointRecord;
 use crate::EntryName;
 use crate::EntryState;
 use crate::Node;
 use crate::PeerLoad;
-use crate::QuotaDecision;
-use crate::QuotaRequest;
 use crate::RelayedState;
 use crate::StateRevision;
-use crate::UsageDelivery;
-use crate::apply_page;
-use crate::decide_quota;
 use crate::log_limit;
 use crate::wall_millis;
 
@@ -60,9 +46,6 @@
 /// domains.
 const ALL_DOMAIN_ROUNDS: f64 = 1.5;
 
-/// Timeout of a call to a peer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Probability that a round goes to any known peer or seed instead of a live one, so that peers
 /// that have returned are found.
 const RANDOM_PEER_PROBABILITY: f64 = 0.15;
@@ -91,50 +74,6 @@
     pub wall_ms: u64,
 }
 
-/// RPC interface between entries.
-#[rpc(client, server, namespace = "entry")]
-pub trait EntryRpc {
-    /// Exchanges states, configuration and the endpoint list.
-    #[method(name = "exchange")]
-    async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply>;
-
-    /// Delivers the usage that the calling entry has counted.
-    #[method(name = "usage")]
-    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()>;
-
-    /// Passes on updates of the endpoint list; returns whether they were applied.
-    #[method(name = "endpoints")]
-    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool>;
-
-    /// Charges a customer's quota at the customer's owner.
-    #[method(name = "charge")]
-    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>>;
-}
-
-struct GossipHandler {
-    node: Arc<Node>,
-}
-
-#[async_trait]
-impl EntryRpcServer for GossipHandler {
-    async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply> {
-        Ok(handle_exchange(&self.node, exchange))
-    }
-
-    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()> {
-        self.node.members.lock().record_usage(&delivery);
-        Ok(())
-    }
-
-    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool> {
-        Ok(apply_page(&self.node, page))
-    }
-
-    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>> {
-        Ok(decide_quota(&self.node, &request))
-    }
-}
-
 /// Merges a peer's request and returns what the peer does not know.
 pub fn handle_exchange(node: &Node, exchange: GossipRequest) -> GossipReply {
     let now = Instant::now();
@@ -284,146 +223,60 @@
     interval.clamp(MIN_ROUND_INTERVAL, MAX_ROUND_INTERVAL)
 }
 
-/// Starts a server for peers' calls, which runs until the process ends.
-///
-/// # Errors
-///
-/// Returns the error of binding the address.
-pub async fn serve_gossip(node: Arc<Node>, address: SocketAddr) -> std::io::Result<()> {
-    let server = ServerBuilder::default().build(address).await?;
-    let handle = server.start(GossipHandler { node }.into_rpc());
-    tokio::spawn(handle.stopped());
-    Ok(())
-}
-
-/// Gossip with peers, with one cached RPC client per peer address.
-#[derive(Debug, Default)]
-pub struct Gossip {
-    clients: Mutex<IndexMap<SocketAddr, HttpClient>>,
-}
-
-impl Gossip {
-    /// Runs gossip rounds with one peer each until the process ends.
-    pub async fn run(&self, node: &Arc<Node>) {
-        loop {
-            node.record_own_clock();
-            if let Some((name, address)) = choose_peer(node) {
-                self.exchange(node, name.as_ref(), address).await;
-            }
-            let jitter = rand::rng().random_range(0.8..1.2);
-            let round = round_interval(node.entry_count()).mul_f64(jitter);
-            tokio::select! {
-                () = tokio::time::sleep(round) => {}
-                () = node.gossip_now.notified() => self.push_state(node, URGENT_FAN_OUT).await,
-            }
+/// Runs gossip rounds with one peer each until the process ends.
+pub async fn run_gossip(node: &Arc<Node>) {
+    loop {
+        node.record_own_clock();
+        if let Some((name, address)) = choose_peer(node) {
+            exchange_with(node, name.as_ref(), address).await;
         }
-    }
-
-    /// Sends the final state to some peers before the entry stops; counts since the last round
-    /// would be lost otherwise.
-    pub async fn send_final_state(&self, node: &Arc<Node>) {
-        self.push_state(node, SHUTDOWN_FAN_OUT).await;
-    }
-
-    /// Rebuilds this entry's state and exchanges it with `count` random live peers concurrently.
-    async fn push_state(&self, node: &Arc<Node>, count: usize) {
-        node.invalidate_state();
-        let peers: Vec<(EntryName, SocketAddr)> = {
-            let members = node.members.lock();
-            let live = members.live(Instant::now());
-            let live = live.map(|p| (p.state.name.clone(), p.state.peer_address));
-            live.choose_multiple(&mut rand::rng(), count)
-        };
-        let exchanges = peers
-            .iter()
-            .map(|(name, address)| self.exchange(node, Some(name), *address));
-        futures_util::future::join_all(exchanges).await;
-    }
-
-    /// Runs one exchange with a peer; `name` is `None` if only its address is known.
-    pub async fn exchange(&self, node: &Arc<Node>, name: Option<&EntryName>, address: SocketAddr) {
-        let sent = BootTime::now();
-        let exchange = GossipRequest {
-            own: node.own_state(),
-            digest: node.members.lock().digest(),
-            has_endpoints: node.endpoints.lock().is_loaded(),
-        };
-        match self.call(address, exchange).await {
-            Ok(reply) => {
-                let midpoint_ms = u64::midpoint(sent.millis(), BootTime::now().millis());
-                if let Some(name) = name {
-                    node.clock
-                        .lock()
-                        .record_peer(name, reply.wall_ms, midpoint_ms);
-                }
-                apply_reply(node, reply);
-            }
-            Err(error) => {
-                self.clients.lock().swap_remove(&address);
-                tracing::debug!(event = "peer_unreachable", %address, %error);
-            }
-        }
-    }
-
-    /// Delivers usage to the entry at an address; returns whether that entry confirmed it.
-    pub(crate) async fn deliver_usage(&self, address: SocketAddr, delivery: UsageDelivery) -> bool {
-        let outcome = match self.client(address) {
-            Ok(client) => client.usage(delivery).await,
-            Err(error) => Err(error),
-        };
-        if let Err(error) = &outcome {
-            self.clients.lock().swap_remove(&address);
-            tracing::debug!(event = "usage_undelivered", %address, %error);
-        }
-        outcome.is_ok()
-    }
-
-    /// Passes a page of the endpoint list on to the entry at an address.
-    pub(crate) async fn send_page(&self, address: SocketAddr, page: EndpointPage) {
-        let outcome = match self.client(address) {
-            Ok(client) => client.endpoints(page).await,
-            Err(error) => Err(error),
-        };
-        if let Err(error) = outcome {
-            tracing::debug!(event = "page_unsent", %address, %error);
+        let jitter = rand::rng().random_range(0.8..1.2);
+        let round = round_interval(node.entry_count()).mul_f64(jitter);
+        tokio::select! {
+            () = tokio::time::sleep(round) => {}
+            () = node.gossip_now.notified() => push_state(node, URGENT_FAN_OUT).await,
         }
     }
+}
 
-    /// Asks the entry at an address to charge a customer's quota; `None` if it gives no decision.
-    pub(crate) async fn charge_quota(
-        &self,
-        address: SocketAddr,
-        request: QuotaRequest,
-    ) -> Option<QuotaDecision> {
-        let outcome = match self.client(address) {
-            Ok(client) => client.charge(request).await,
-            Err(error) => Err(error),
-        };
-        outcome
-            .inspect_err(|error| tracing::debug!(event = "quota_uncharged", %address, %error))
-            .ok()?
-    }
+/// Sends the final state to some peers before the entry stops; counts since the last round would be
+/// lost otherwise.
+pub async fn send_final_state(node: &Arc<Node>) {
+    push_state(node, SHUTDOWN_FAN_OUT).await;
+}
 
-    async fn call(
-        &self,
-        address: SocketAddr,
-        exchange: GossipRequest,
-    ) -> Result<GossipReply, ClientError> {
-        let client = self.client(address)?;
-        client.exchange(exchange).await
-    }
+/// Rebuilds this entry's state and exchanges it with `count` random live peers concurrently.
+async fn push_state(node: &Arc<Node>, count: usize) {
+    node.invalidate_state();
+    let peers: Vec<(EntryName, SocketAddr)> = {
+        let members = node.members.lock();
+        let live = members.live(Instant::now());
+        let live = live.map(|p| (p.state.name.clone(), p.state.peer_address));
+        live.choose_multiple(&mut rand::rng(), count)
+    };
+    let exchanges = peers
+        .iter()
+        .map(|(name, address)| exchange_with(node, Some(name), *address));
+    futures_util::future::join_all(exchanges).await;
+}
 
-    fn client(&self, address: SocketAddr) -> Result<HttpClient, ClientError> {
-        let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&address) {
-            return Ok(client.clone());
-        }
-        let client = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
-            .build(format!("http://{address}"))?;
-        clients.insert(address, client.clone());
-        Ok(client)
+/// Runs one exchange with a peer; `name` is `None` if only its address is known.
+pub async fn exchange_with(node: &Arc<Node>, name: Option<&EntryName>, address: SocketAddr) {
+    let sent = BootTime::now();
+    let request = GossipRequest {
+        own: node.own_state(),
+        digest: node.members.lock().digest(),
+        has_endpoints: node.endpoints.lock().is_loaded(),
+    };
+    let Some(reply) = node.peers.exchange(address, request).await else {
+        return;
+    };
+    let midpoint_ms = u64::midpoint(sent.millis(), BootTime::now().millis());
+    if let Some(name) = name {
+        let mut clock = node.clock.lock();
+        clock.record_peer(name, reply.wall_ms, midpoint_ms);
     }
+    apply_reply(node, reply);
 }
 
 /// Selects a random peer or seed for a round; `None` if the selection yields neither.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -24,12 +24,12 @@
 use crate::EntryName;
 use crate::EntryState;
 use crate::ExposureBounds;
-use crate::Gossip;
 use crate::LeaseState;
 use crate::ListCursor;
 use crate::MedianClock;
 use crate::Members;
 use crate::Metrics;
+use crate::PeerClient;
 use crate::QuotaLedger;
 use crate::RetryBounds;
 use crate::RetryBudget;
@@ -116,7 +116,7 @@
     /// Lease that decides which entry carries out the duties.
     pub lease: Mutex<LeaseState>,
     /// Client for calls to peers.
-    pub gossip: Arc<Gossip>,
+    pub peers: PeerClient,
     /// Entries that did not answer a request to charge a quota, with the time until which they are
     /// passed over.
     pub avoided_owners: Mutex<IndexMap<EntryName, Instant>>,
@@ -155,7 +155,7 @@
             clock: Mutex::default(),
             members: Mutex::default(),
             lease: Mutex::default(),
-            gossip: Arc::default(),
+            peers: PeerClient::default(),
             avoided_owners: Mutex::default(),
             metrics,
             slot_freed: Notify::new(),
--- /dev/null
+++ b/entry/src/peer_rpc.rs
@@ -0,0 +1,157 @@
+//! Calls between entries over JSON-RPC.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::ServerBuilder;
+use parking_lot::Mutex;
+
+use crate::EndpointPage;
+use crate::GossipReply;
+use crate::GossipRequest;
+use crate::Node;
+use crate::QuotaDecision;
+use crate::QuotaRequest;
+use crate::UsageDelivery;
+use crate::apply_page;
+use crate::decide_quota;
+use crate::handle_exchange;
+
+/// Timeout of a call to a peer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// RPC interface between entries.
+#[rpc(client, server, namespace = "entry")]
+pub trait EntryRpc {
+    /// Exchanges states, configuration and the endpoint list.
+    #[method(name = "exchange")]
+    async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply>;
+
+    /// Delivers the usage that the calling entry has counted.
+    #[method(name = "usage")]
+    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()>;
+
+    /// Passes on updates of the endpoint list; returns whether they were applied.
+    #[method(name = "endpoints")]
+    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool>;
+
+    /// Charges a customer's quota at the customer's owner.
+    #[method(name = "charge")]
+    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>>;
+}
+
+struct PeerHandler {
+    node: Arc<Node>,
+}
+
+#[async_trait]
+impl EntryRpcServer for PeerHandler {
+    async fn exchange(&self, exchange: GossipRequest) -> RpcResult<GossipReply> {
+        Ok(handle_exchange(&self.node, exchange))
+    }
+
+    async fn usage(&self, delivery: UsageDelivery) -> RpcResult<()> {
+        self.node.members.lock().record_usage(&delivery);
+        Ok(())
+    }
+
+    async fn endpoints(&self, page: EndpointPage) -> RpcResult<bool> {
+        Ok(apply_page(&self.node, page))
+    }
+
+    async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>> {
+        Ok(decide_quota(&self.node, &request))
+    }
+}
+
+/// Starts a server for peers' calls, which runs until the process ends.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn serve_peers(node: Arc<Node>, address: SocketAddr) -> std::io::Result<()> {
+    let server = ServerBuilder::default().build(address).await?;
+    let handle = server.start(PeerHandler { node }.into_rpc());
+    tokio::spawn(handle.stopped());
+    Ok(())
+}
+
+/// Client for calls to peers, with one cached RPC client per address.
+///
+/// A call that fails is logged and closes the client's connections to the address.
+#[derive(Debug, Default)]
+pub struct PeerClient {
+    clients: Mutex<IndexMap<SocketAddr, HttpClient>>,
+}
+
+impl PeerClient {
+    /// Exchanges states with a peer; `None` if the call fails.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: GossipRequest,
+    ) -> Option<GossipReply> {
+        let call = async |client: HttpClient| client.exchange(request).await;
+        self.call("exchange", address, call).await
+    }
+
+    /// Delivers usage to a peer; returns whether it was confirmed.
+    pub async fn deliver_usage(&self, address: SocketAddr, delivery: UsageDelivery) -> bool {
+        let call = async |client: HttpClient| client.usage(delivery).await;
+        self.call("usage", address, call).await.is_some()
+    }
+
+    /// Passes a page of the endpoint list on to a peer.
+    pub async fn send_page(&self, address: SocketAddr, page: EndpointPage) {
+        let call = async |client: HttpClient| client.endpoints(page).await;
+        self.call("endpoints", address, call).await;
+    }
+
+    /// Asks a peer to charge a customer's quota; `None` if it gives no decision.
+    pub async fn charge_quota(
+        &self,
+        address: SocketAddr,
+        request: QuotaRequest,
+    ) -> Option<QuotaDecision> {
+        let call = async |client: HttpClient| client.charge(request).await;
+        self.call("charge", address, call).await.flatten()
+    }
+
+    async fn call<T>(
+        &self,
+        method: &'static str,
+        address: SocketAddr,
+        call: impl AsyncFnOnce(HttpClient) -> Result<T, ClientError>,
+    ) -> Option<T> {
+        let outcome = match self.client(address) {
+            Ok(client) => call(client).await,
+            Err(error) => Err(error),
+        };
+        outcome
+            .inspect_err(|error| {
+                self.clients.lock().swap_remove(&address);
+                tracing::debug!(event = "peer_unreachable", method, %address, %error);
+            })
+            .ok()
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<HttpClient, ClientError> {
+        let mut clients = self.clients.lock();
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{address}"))?;
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+}
--- a/entry/src/peer_search.rs
+++ b/entry/src/peer_search.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 
 use crate::FeedClient;
-use crate::Gossip;
 use crate::Node;
+use crate::exchange_with;
 
 /// Interval at which an entry checks whether it needs to search for peers.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(2);
@@ -24,7 +24,7 @@
 /// Announces this entry's address and contacts announced entries; repeats whenever no peer is live,
 /// the announcement has not succeeded, or the store may have lost it with an earlier era. Runs until
 /// the process ends.
-pub async fn find_peers<E: FeedClient>(client: Arc<E>, node: Arc<Node>, gossip: Arc<Gossip>) {
+pub async fn find_peers<E: FeedClient>(client: Arc<E>, node: Arc<Node>) {
     let settings = &node.settings;
     // Era of the store that has the announcement.
     let mut announced = None;
@@ -36,7 +36,7 @@
             }
             announced = outcome.is_ok().then(|| client.store_era());
         }
-        exchange_with_announced(&*client, &node, &gossip).await;
+        exchange_with_announced(&*client, &node).await;
         loop {
             tokio::time::sleep(SEARCH_INTERVAL).await;
             let no_live_peers = node.members.lock().live(Instant::now()).count() == 0;
@@ -47,7 +47,7 @@
     }
 }
 
-async fn exchange_with_announced<E: FeedClient>(client: &E, node: &Arc<Node>, gossip: &Gossip) {
+async fn exchange_with_announced<E: FeedClient>(client: &E, node: &Arc<Node>) {
     let entries = match client.announced_entries().await {
         Ok(entries) => entries,
         Err(error) => {
@@ -61,7 +61,7 @@
     let contacted = others.choose_multiple(&mut rand::rng(), SEARCH_FAN_OUT);
     stream::iter(contacted)
         .for_each_concurrent(MAX_CONCURRENT_EXCHANGES, |(_, address)| {
-            gossip.exchange(node, None, address)
+            exchange_with(node, None, address)
         })
         .await;
 }
--- a/entry/src/quota_owner.rs
+++ b/entry/src/quota_owner.rs
@@ -80,7 +80,7 @@
     // Passed over until it has answered, also if this call is dropped at its timeout.
     let until = Instant::now() + AVOIDANCE_TIME;
     let previous = node.avoided_owners.lock().insert(owner.clone(), until);
-    let decision = node.gossip.charge_quota(address, request).await?;
+    let decision = node.peers.charge_quota(address, request).await?;
     let mut avoided = node.avoided_owners.lock();
     match previous {
         Some(previous) => avoided.insert(owner, previous),
--- a/entry/src/usage_delivery.rs
+++ b/entry/src/usage_delivery.rs
@@ -11,7 +11,6 @@
 use serde::Serialize;
 
 use crate::EntryName;
-use crate::Gossip;
 use crate::Node;
 use crate::Usage;
 
@@ -44,12 +43,12 @@
 }
 
 /// Delivers the counts of each window after its end until the process ends.
-pub async fn deliver_usage(node: Arc<Node>, gossip: Arc<Gossip>) {
+pub async fn deliver_usage(node: Arc<Node>) {
     loop {
         let delay = rand::rng().random_range(MIN_DELIVERY_DELAY..MAX_DELIVERY_DELAY);
         tokio::time::sleep(time_to_window_end(&node) + delay).await;
         for _ in 0..MAX_ATTEMPTS {
-            if deliver_once(&node, &gossip).await {
+            if deliver_once(&node).await {
                 break;
             }
             tokio::time::sleep(ATTEMPT_INTERVAL).await;
@@ -58,7 +57,7 @@
 }
 
 /// Sends the newest windows to the holder; returns whether nothing is left to send.
-async fn deliver_once(node: &Node, gossip: &Gossip) -> bool {
+async fn deliver_once(node: &Node) -> bool {
     let usage = node.usage.lock().newest(DELIVERED_WINDOWS);
     let holder = node.lease.lock().holder();
     if usage.is_empty() || holder.as_ref() == Some(&node.settings.name) {
@@ -72,7 +71,7 @@
         incarnation: node.incarnation(),
         usage,
     };
-    gossip.deliver_usage(address, delivery).await
+    node.peers.deliver_usage(address, delivery).await
 }
 
 fn peer_address(node: &Node, name: &EntryName) -> Option<SocketAddr> {
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -322,7 +322,7 @@
     let after = refusal.retry_after.unwrap();
     assert!(after >= Duration::from_millis(1_900), "{after:?}");
     // The rest of the pause is shorter than the objective of 300 ms.
-    tokio::time::sleep(after - Duration::from_millis(150)).await;
+    tokio::time::sleep(after.saturating_sub(Duration::from_millis(150))).await;
     expect_refusal(&node, &client).await;
     assert_eq!(client.seen.lock().len(), 1);
     tokio::time::sleep(Duration::from_millis(150)).await;
