members: draining endpoints are reported with their incarnation

Cause: peers report draining endpoints by id alone. An endpoint that starts again under its id was marked as draining by every peer that did not know of the restart yet, and stayed out of use for good. The wire keeps `leaving`; `leaving_born` beside it holds the starts, and an entry of an earlier build, which does not send it, is read as before.

--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -248,7 +248,17 @@
         self.is_initialized = true;
     }
 
-    /// Marks an endpoint as draining, as reported by itself or a peer.
+    /// Marks an endpoint as draining, as reported by a peer, unless it has started again since the
+    /// incarnation that the peer knows.
+    ///
+    /// Returns whether the endpoint was marked and had not been before.
+    pub fn mark_draining_as_of(&mut self, id: &EndpointId, incarnation: Option<u64>) -> bool {
+        let known = self.by_id_mut(id).map(|e| e.record.incarnation);
+        let is_restarted = known > incarnation && incarnation.is_some();
+        !is_restarted && self.mark_draining(id)
+    }
+
+    /// Marks an endpoint as draining.
     ///
     /// Returns whether the endpoint is known and was not marked before.
     pub fn mark_draining(&mut self, id: &EndpointId) -> bool {
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -178,8 +178,8 @@
             tracing::info!(event = "dropped_learnt", endpoint = %removed.id, peer = %name);
         }
     }
-    for id in &state.draining {
-        if endpoints.mark_draining(id) {
+    for (id, incarnation) in state.draining() {
+        if endpoints.mark_draining_as_of(id, incarnation) {
             tracing::info!(event = "leaving_learnt", endpoint = %id, peer = %name);
         }
     }
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -109,12 +109,24 @@
     /// Endpoints that are draining.
     #[serde(rename = "leaving")]
     pub draining: Vec<EndpointId>,
+    /// Start of the incarnation of each endpoint in `draining`, in milliseconds since the Unix epoch;
+    /// empty if the entry does not report it.
+    #[serde(default, rename = "leaving_born")]
+    pub draining_starts: Vec<u64>,
     /// Endpoints recently removed from the list.
     #[serde(rename = "dropped")]
     pub removed: Vec<RemovedEndpoint>,
 }
 
 impl EntryState {
+    /// Returns the endpoints that are draining, each with the start of its incarnation if known.
+    pub fn draining(&self) -> impl Iterator<Item = (&EndpointId, Option<u64>)> {
+        let starts = self.draining_starts.iter().copied().map(Some);
+        self.draining
+            .iter()
+            .zip(starts.chain(std::iter::repeat(None)))
+    }
+
     /// Returns what the entry has charged to each customer since its start.
     pub fn quota_totals(&self) -> IndexMap<CustomerName, QuotaTotals> {
         let totals = self.admitted.iter().map(|(customer, admitted)| {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -19,6 +19,7 @@
 use crate::CrashTracker;
 use crate::DomainName;
 use crate::DurationEstimator;
+use crate::EndpointId;
 use crate::EndpointLoadReport;
 use crate::EndpointTable;
 use crate::EntryName;
@@ -329,7 +330,8 @@
     fn build_state(&self) -> EntryState {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let settings = &self.settings;
-        let (loads, draining) = self.endpoint_loads();
+        let loads = self.endpoint_loads();
+        let draining = self.draining_endpoints();
         let (rollouts, evidence) = self.rollout_state();
         let charged = self.quotas.lock().own_totals();
         let refunded = charged.iter().filter(|(_, t)| t.refunded > 0.0);
@@ -357,7 +359,8 @@
             crashes: self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES),
             rollouts,
             evidence,
-            draining,
+            draining_starts: draining.iter().map(|(_, start)| *start).collect(),
+            draining: draining.into_iter().map(|(id, _)| id).collect(),
             removed: self.endpoints.lock().recently_removed(Instant::now()),
         }
     }
@@ -377,10 +380,17 @@
         (rollouts.iter().cloned().collect(), rollouts.evidence())
     }
 
-    fn endpoint_loads(&self) -> (Vec<EndpointLoadReport>, Vec<crate::EndpointId>) {
+    /// Returns the endpoints that are draining, with the start of their incarnation.
+    fn draining_endpoints(&self) -> Vec<(EndpointId, u64)> {
+        let endpoints = self.endpoints.lock();
+        let draining = endpoints.iter().filter(|(_, e)| e.is_draining);
+        let draining = draining.map(|(_, e)| (e.record.id.clone(), e.record.incarnation));
+        draining.collect()
+    }
+
+    fn endpoint_loads(&self) -> Vec<EndpointLoadReport> {
         let endpoints = self.endpoints.lock();
         let mut loads = Vec::new();
-        let mut draining = Vec::new();
         for (_, endpoint) in endpoints.iter() {
             let load = &endpoint.load;
             if load.own_running() > 0 {
@@ -391,11 +401,8 @@
                     non_retryable: load.own_non_retryable(),
                 });
             }
-            if endpoint.is_draining {
-                draining.push(endpoint.record.id.clone());
-            }
         }
-        (loads, draining)
+        loads
     }
 }
 
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -113,7 +113,11 @@
 
     /// Marks the endpoint as accepting no more requests.
     pub(crate) fn mark_draining(&self) {
-        if self.node.endpoints.lock().mark_draining(&self.endpoint) {
+        let mut endpoints = self.node.endpoints.lock();
+        let Some(endpoint) = endpoints.get_mut(self.key) else {
+            return;
+        };
+        if !std::mem::replace(&mut endpoint.is_draining, true) {
             tracing::info!(event = "leaving_announced", endpoint = %self.endpoint);
         }
     }
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -200,3 +200,27 @@
     members.add_usage(window, &mut sum);
     assert_eq!(sum[&customer], 5);
 }
+
+// Guards against an endpoint that stays out of use after a restart under its old id: peers that did
+// not know of the restart yet kept reporting that it was draining.
+#[tokio::test(start_paused = true)]
+async fn test_members_draining_of_an_earlier_incarnation_does_not_mark_a_restarted_endpoint() {
+    let kind = hawthornrack_entry::RouteKind::Once;
+    let (receiver, sender) = (node(config(kind), 2), node(config(kind), 2));
+    let id = hawthornrack_entry::EndpointId::from("e1");
+    sender.endpoints.lock().mark_draining(&id);
+    let mut restarted = testutils::endpoint("e1");
+    restarted.incarnation += 1;
+    receiver.endpoints.lock().apply(restarted, Instant::now());
+    let mut state = sender.own_state();
+    state.name = EntryName::from("entry-2");
+    let exchange = GossipRequest {
+        own: state,
+        digest: IndexMap::new(),
+        has_endpoints: true,
+    };
+    handle_exchange(&receiver, exchange);
+    let service = hawthornrack_entry::ServiceName::from("desk");
+    let endpoints = receiver.endpoints.lock();
+    assert_eq!(endpoints.candidates(&service, Instant::now()).count(), 2);
+}
