--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -201,4 +201,5 @@
 pub use usage::UsageCounts;
 pub use usage::WindowIndex;
 pub use usage_delivery::UsageDelivery;
+pub use usage_delivery::deliver_newest;
 pub use usage_delivery::deliver_usage;
--- a/entry/src/usage_delivery.rs
+++ b/entry/src/usage_delivery.rs
@@ -53,7 +53,7 @@
         let delay = MIN_DELIVERY_DELAY + spread.mul_f64(rand::rng().random_range(0.0..1.0));
         tokio::time::sleep(time_to_window_end(&node) + delay).await;
         for _ in 0..MAX_ATTEMPTS {
-            if deliver_once(&node).await {
+            if deliver_newest(&node).await {
                 break;
             }
             tokio::time::sleep(ATTEMPT_INTERVAL).await;
@@ -61,8 +61,8 @@
     }
 }
 
-/// Sends the newest windows to the holder; returns whether nothing is left to send.
-async fn deliver_once(node: &Node) -> bool {
+/// Sends the newest windows to the lease holder once; returns whether nothing is left to send.
+pub async fn deliver_newest(node: &Node) -> bool {
     let usage = node.usage.lock().newest(DELIVERED_WINDOWS);
     let holder = node.lease.lock().holder();
     if usage.is_empty() || holder.as_ref() == Some(&node.settings.name) {
