crash, members: crash reports end, live entries of large systems are not forgotten

Peers kept each other's crash reports: a report of a known crash renewed it, and learnt crashes were passed on, so that a request that crashed three endpoints was refused for good, and `crash_learnt` was logged without end. An entry now shares only crashes that it saw itself, and a known one does not renew the record (test_budgets_reports_of_known_crashes_do_not_keep_them failed before).

`entry_forgotten` came in bursts at 295 entries: an entry was removed after a fixed 15 s while it counts as live for 10 s there. The time is now three times that, 15 s at least (test_members_removal_waits_longer_in_a_large_system failed before).

--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -11,7 +11,7 @@
 /// Number of different endpoints that a request must have crashed to be refused.
 const CRASH_THRESHOLD: usize = 3;
 
-/// Time after a request's last record of a crash for which its crashes are kept; older ones are
+/// Time after a request's last new crash for which its crashes are kept; older ones are
 /// discarded when the next crash of any request is recorded.
 const CRASH_RETENTION: Duration = Duration::from_mins(2);
 
@@ -20,10 +20,18 @@
 
 #[derive(Debug)]
 struct RequestCrashes {
-    endpoints: Vec<EndpointId>,
+    /// Endpoints, each with the process that saw it fail.
+    endpoints: Vec<(EndpointId, Source)>,
     last_crash: Instant,
 }
 
+/// Who saw an endpoint fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    Own,
+    Peer,
+}
+
 /// Endpoints that failed while they ran a request, by the request's fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -39,6 +47,29 @@
         request: Fingerprint,
         endpoint: &EndpointId,
         now: Instant,
+    ) -> bool {
+        self.record(request, endpoint, Source::Own, now)
+    }
+
+    /// Records that a peer saw an endpoint fail while it ran the request.
+    ///
+    /// Returns whether that was not yet known. It is not passed on, as the peer's own state reaches
+    /// every entry.
+    pub fn record_peer_crash(
+        &mut self,
+        request: Fingerprint,
+        endpoint: &EndpointId,
+        now: Instant,
+    ) -> bool {
+        self.record(request, endpoint, Source::Peer, now)
+    }
+
+    fn record(
+        &mut self,
+        request: Fingerprint,
+        endpoint: &EndpointId,
+        source: Source,
+        now: Instant,
     ) -> bool {
         self.requests
             .retain(|_, crashes| now.duration_since(crashes.last_crash) < CRASH_RETENTION);
@@ -52,11 +83,11 @@
                 endpoints: Vec::new(),
                 last_crash: now,
             });
-        crashes.last_crash = now;
-        if crashes.endpoints.contains(endpoint) {
+        if crashes.endpoints.iter().any(|(known, _)| known == endpoint) {
             return false;
         }
-        crashes.endpoints.push(endpoint.clone());
+        crashes.last_crash = now;
+        crashes.endpoints.push((endpoint.clone(), source));
         true
     }
 
@@ -66,13 +97,21 @@
         crashes.is_some_and(|c| c.endpoints.len() >= CRASH_THRESHOLD)
     }
 
-    /// Returns the crashes of the `max_requests` requests recorded last, to be sent to peers; the
-    /// request recorded first comes first.
-    pub fn recent_crashes(&self, max_requests: usize) -> Vec<(Fingerprint, EndpointId)> {
+    /// Returns the crashes that this entry saw itself of the `max_requests` requests recorded last, to
+    /// be sent to peers; the request recorded first comes first.
+    pub fn recent_crashes(
+        &self,
+        max_requests: usize,
+        now: Instant,
+    ) -> Vec<(Fingerprint, EndpointId)> {
         let skip_count = self.requests.len().saturating_sub(max_requests);
         let requests = self.requests.iter().skip(skip_count);
+        let is_kept = |c: &RequestCrashes| now.duration_since(c.last_crash) < CRASH_RETENTION;
         requests
-            .flat_map(|(f, c)| c.endpoints.iter().map(|e| (*f, e.clone())))
+            .filter(|(_, c)| is_kept(c))
+            .flat_map(|(f, c)| c.endpoints.iter().map(move |crash| (f, crash)))
+            .filter(|(_, (_, source))| *source == Source::Own)
+            .map(|(f, (endpoint, _))| (*f, endpoint.clone()))
             .collect()
     }
 }
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -154,7 +154,7 @@
     }
     let mut crashes = node.crashes.lock();
     for (request, endpoint) in &state.crashes {
-        if crashes.record_crash(*request, endpoint, now) && log_limit::allows("crash_learnt") {
+        if crashes.record_peer_crash(*request, endpoint, now) && log_limit::allows("crash_learnt") {
             tracing::info!(event = "crash_learnt", request = request.0, %endpoint, peer = %name);
         }
     }
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -38,8 +38,11 @@
 /// counts as live and callers are no longer sent to it.
 const BASE_LIVENESS_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time without updates after which an entry is removed.
-const REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Minimum time without updates after which an entry is removed.
+const MIN_REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Multiple of the time for which an entry counts as live, after which it is removed.
+const REMOVAL_FACTOR: u32 = 3;
 
 /// Maximum number of removed entries whose last revision is kept to reject stale states.
 const MAX_TOMBSTONES: usize = 1024;
@@ -260,7 +263,8 @@
     /// Removes the entries whose last update is older than the removal timeout, and returns their
     /// names.
     pub fn remove_silent(&mut self, now: Instant) -> Vec<EntryName> {
-        let is_silent = |p: &Peer| now.duration_since(p.updated_at) >= REMOVAL_TIMEOUT;
+        let timeout = (self.liveness_timeout() * REMOVAL_FACTOR).max(MIN_REMOVAL_TIMEOUT);
+        let is_silent = |p: &Peer| now.duration_since(p.updated_at) >= timeout;
         let removed_names = self.peers.iter().filter(|(_, p)| is_silent(p));
         let removed_names: Vec<EntryName> = removed_names.map(|(name, _)| name.clone()).collect();
         for name in &removed_names {
@@ -288,9 +292,13 @@
         self.peers.values()
     }
 
+    fn liveness_timeout(&self) -> Duration {
+        BASE_LIVENESS_TIMEOUT + refresh_interval(self.peers.len() + 1) * 2
+    }
+
     /// Iterates over the peers with a recent update.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let limit = BASE_LIVENESS_TIMEOUT + refresh_interval(self.peers.len() + 1) * 2;
+        let limit = self.liveness_timeout();
         let live = move |p: &&Peer| now.duration_since(p.updated_at) < limit;
         self.peers.values().filter(live)
     }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -356,7 +356,10 @@
             refunded: refunded.collect(),
             prefilled: self.prefilled.lock().clone(),
             usage: self.usage.lock().newest(self.shared_window_count()),
-            crashes: self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES),
+            crashes: self
+                .crashes
+                .lock()
+                .recent_crashes(MAX_SHARED_CRASHES, Instant::now()),
             rollouts,
             evidence,
             draining_starts: draining.iter().map(|(_, start)| *start).collect(),
--- a/entry/tests/test_budgets.rs
+++ b/entry/tests/test_budgets.rs
@@ -73,5 +73,32 @@
         assert_eq!(tracker.is_crashing(request), crashing, "after {endpoint}");
     }
     assert!(!tracker.is_crashing(Fingerprint(8)));
-    assert_eq!(tracker.recent_crashes(8).len(), 3);
+    assert_eq!(tracker.recent_crashes(8, Instant::now()).len(), 3);
+}
+
+// Guards against a request that is refused for good after crashes long ago: peers kept reporting the
+// same crashes, and each report counted as a new one and was passed on.
+#[tokio::test(start_paused = true)]
+async fn test_budgets_reports_of_known_crashes_do_not_keep_them() {
+    let request = Fingerprint(7);
+    let mut own = CrashTracker::default();
+    let mut peer = CrashTracker::default();
+    for endpoint in ["a", "b", "c"] {
+        own.record_crash(request, &EndpointId::from(endpoint), Instant::now());
+    }
+    for _ in 0..100 {
+        for (fingerprint, endpoint) in own.recent_crashes(8, Instant::now()) {
+            peer.record_peer_crash(fingerprint, &endpoint, Instant::now());
+        }
+        for (fingerprint, endpoint) in peer.recent_crashes(8, Instant::now()) {
+            own.record_peer_crash(fingerprint, &endpoint, Instant::now());
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+    }
+    // Crashes of another request show that the old ones are discarded.
+    let other = Fingerprint(8);
+    own.record_crash(other, &EndpointId::from("a"), Instant::now());
+    peer.record_crash(other, &EndpointId::from("a"), Instant::now());
+    assert!(!own.is_crashing(request));
+    assert!(!peer.is_crashing(request));
 }
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -224,3 +224,17 @@
     let endpoints = receiver.endpoints.lock();
     assert_eq!(endpoints.candidates(&service, Instant::now()).count(), 2);
 }
+
+// Guards against forgetting live entries of a large system, whose states arrive many seconds old:
+// the shares of quotas and the usage of a forgotten entry are lost until it is learnt again.
+#[tokio::test(start_paused = true)]
+async fn test_members_removal_waits_longer_in_a_large_system() {
+    let mut members = Members::default();
+    for number in 0..300 {
+        members.merge(new_state(&format!("e{number}"), 1), Instant::now());
+    }
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert!(members.remove_silent(Instant::now()).is_empty());
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    assert_eq!(members.remove_silent(Instant::now()).len(), 300);
+}
