fleet: a baseline settles in 0.7 s and two batch delays

With 3 s and two batch delays the fleet of a small deployment was ordered at the time at which traffic starts, so that endpoints were replaced under load. A small deployment's list is complete within a second; what takes longer in a large one are the batch delays.

--- a/entry/src/baseline.rs
+++ b/entry/src/baseline.rs
@@ -11,7 +11,7 @@
 
 /// Time without a new endpoint, in addition to two batch delays of the endpoint list, after which
 /// the list is taken for complete.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// Baseline of one service.
 #[derive(Clone, Copy, Debug)]
