--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -16,6 +16,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     sends: Counter<u64>,
+    shutdown: Counter<u64>,
 }
 
 impl Metrics {
@@ -35,6 +36,10 @@
                 .u64_counter("hawthornrack_sends")
                 .with_description("Sends to endpoints, by outcome")
                 .build(),
+            shutdown: meter
+                .u64_counter("hawthornrack_shutdown_requests")
+                .with_description("Requests during graceful shutdown, by outcome")
+                .build(),
         }
     }
 
@@ -44,6 +49,11 @@
         self.latency.record(latency.as_secs_f64(), &[]);
     }
 
+    /// Counts a request during graceful shutdown by what became of it.
+    pub fn record_shutdown(&self, outcome: &'static str) {
+        self.shutdown.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a send to an endpoint by outcome.
     pub fn record_send(&self, outcome: &'static str) {
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::BootTime;
+use crate::Call;
 use crate::Config;
 use crate::CrashTracker;
 use crate::DomainName;
@@ -38,6 +39,7 @@
 use crate::RolloutEvidence;
 use crate::RolloutOrder;
 use crate::Rollouts;
+use crate::Route;
 use crate::ServiceName;
 use crate::StateRevision;
 use crate::Usage;
@@ -293,6 +295,21 @@
         }
     }
 
+    /// Returns a duration within which a request of a route most likely ends, at whichever of the
+    /// route's services takes longest.
+    pub(crate) fn expected_duration(&self, route: &Route, call: &Call) -> Duration {
+        let tokens = call.prompt.as_ref().map(|p| p.max_output);
+        let durations = self.durations.lock();
+        let bounds = route.branches.iter().map(|branch| {
+            let estimator = durations.get(&branch.service);
+            estimator.map_or_else(
+                || DurationEstimator::default().upper_bound(&route.name, tokens),
+                |e| e.upper_bound(&route.name, tokens),
+            )
+        });
+        bounds.max().unwrap_or_default()
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::Relaxed)
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -64,6 +64,23 @@
     Failed(String),
 }
 
+impl<E: EndpointClient> Drop for EventRelay<E> {
+    fn drop(&mut self) {
+        let Some(started) = self.node.shutdown_started() else {
+            return;
+        };
+        if self.source.is_some() {
+            self.node.metrics.record_shutdown("unfinished");
+            tracing::warn!(
+                event = "stream_unfinished",
+                id = self.attempts.request.call.id,
+                last_event = self.attempts.last_event,
+                since_ms = crate::millis(started.elapsed()),
+            );
+        }
+    }
+}
+
 impl<E: EndpointClient> EventRelay<E> {
     pub(crate) fn new(
         node: Arc<Node>,
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -98,7 +98,7 @@
         return Err(Refusal::new(RefusalKind::NoRoute));
     };
     let customer = find_customer(&config, &route, call)?;
-    if !accepts_request(node, &route) {
+    if !accepts_request(node, &route, call) {
         return Err(Refusal::with_retry_after(
             RefusalKind::Stopping,
             SHUTDOWN_RETRY_AFTER,
@@ -133,17 +133,31 @@
     Ok(admitted)
 }
 
-/// Returns whether a request of a route can still finish before the process stops.
-fn accepts_request(node: &Node, route: &Route) -> bool {
-    let Some(since) = node.shutdown_started() else {
+/// Returns whether a request of a route can still finish before the process stops, and logs the
+/// decision during shutdown.
+fn accepts_request(node: &Node, route: &Route, call: &Call) -> bool {
+    let Some(started) = node.shutdown_started() else {
         return true;
     };
+    let since = started.elapsed();
     let limit = if route.kind.is_stream() {
         STREAM_ACCEPT_PERIOD
     } else {
         node.settings.grace.saturating_sub(SHUTDOWN_ACCEPT_MARGIN)
     };
-    since.elapsed() < limit
+    let accepted = since < limit;
+    let outcome = if accepted { "accepted" } else { "refused" };
+    node.metrics.record_shutdown(outcome);
+    tracing::info!(
+        event = "stopping_request",
+        id = call.id,
+        outcome,
+        since_ms = crate::millis(since),
+        left_ms = crate::millis(node.settings.grace.saturating_sub(since)),
+        expected_ms = crate::millis(node.expected_duration(route, call)),
+        stream = route.kind.is_stream(),
+    );
+    accepted
 }
 
 fn find_customer<'a>(
