--- /dev/null
+++ b/entry/tests/test_shutdown.rs
@@ -0,0 +1,139 @@
+//! Requests that arrive at an entry while it shuts down gracefully, or are in progress then.
+
+mod testutils;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornrack_entry::Call;
+use hawthornrack_entry::CallerConnections;
+use hawthornrack_entry::CallerResponse;
+use hawthornrack_entry::Node;
+use hawthornrack_entry::Prompt;
+use hawthornrack_entry::RouteKind;
+use hawthornrack_entry::serve;
+use hawthornrack_entry::shut_down;
+use rstest::rstest;
+use testutils::ScriptedClient;
+use testutils::ScriptedSend;
+use testutils::call;
+use testutils::config;
+use testutils::node;
+use tokio::time::Instant;
+
+/// Interval at which requests arrive.
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of requests from which an entry learns how long they take.
+const LEARNING_REQUESTS: usize = 60;
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    Refused,
+    Complete,
+    Cut,
+}
+
+/// Returns a stream request whose caller waits for 15 s.
+fn stream_call(id: &str) -> Call {
+    Call {
+        timeout: Some(Duration::from_secs(15)),
+        prompt: Some(Prompt {
+            input: 100,
+            max_output: 100,
+            ..Prompt::default()
+        }),
+        ..call(id)
+    }
+}
+
+/// Creates an entry whose route allows streams of 15 s.
+fn stream_node() -> Arc<Node> {
+    let mut config = config(RouteKind::ResumableStream);
+    let route = &mut config.routes["h"][0];
+    route.timeout = Duration::from_secs(15);
+    route.max_pause = Duration::from_secs(10);
+    config.customers[0].quota.rate = 10_000.0;
+    config.customers[0].quota.burst = 10_000.0;
+    node(config, 40)
+}
+
+/// Serves a stream that ends `duration` after its start, and cuts it at `end`.
+async fn serve_stream(node: &Arc<Node>, id: &str, duration: Duration, end: Instant) -> Outcome {
+    let send = ScriptedSend::Delayed("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", duration);
+    let client = ScriptedClient::new([send]);
+    let read = async {
+        let CallerResponse::Stream { mut events, .. } = serve(node, &client, stream_call(id)).await
+        else {
+            return Outcome::Refused;
+        };
+        while let Ok(Some(_)) = events.next().await {}
+        Outcome::Complete
+    };
+    tokio::time::timeout_at(end, read)
+        .await
+        .unwrap_or(Outcome::Cut)
+}
+
+/// Shuts an entry down while streams that take `duration` arrive; returns when each was sent, from
+/// the start of shutdown, and what became of it.
+async fn streams_during_shutdown(node: &Arc<Node>, duration: Duration) -> Vec<(Duration, Outcome)> {
+    let connections = CallerConnections::default();
+    let start = Instant::now();
+    let end = start + node.settings.grace;
+    let arrivals = (1..80).map(|n| {
+        let node = Arc::clone(node);
+        async move {
+            let at = ARRIVAL_INTERVAL * n;
+            tokio::time::sleep_until(start + at).await;
+            (
+                at,
+                serve_stream(&node, &format!("s{n}"), duration, end).await,
+            )
+        }
+    });
+    let arrivals = futures_util::future::join_all(arrivals);
+    let (outcomes, ()) = tokio::join!(arrivals, shut_down(node, &connections));
+    outcomes
+}
+
+// An entry that shuts down accepted streams for a fixed time, whatever they took, and its process
+// ended in the middle of those that took longer than the rest of the grace period.
+#[rstest]
+#[case::short(1)]
+#[case::longer_than_half_of_the_grace_period(5)]
+#[case::almost_as_long_as_the_grace_period(7)]
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_refuses_streams_that_would_outlast_the_grace_period(#[case] seconds: u64) {
+    let node = stream_node();
+    let duration = Duration::from_secs(seconds);
+    let never = Instant::now() + Duration::from_hours(1);
+    for n in 0..LEARNING_REQUESTS {
+        let outcome = serve_stream(&node, &format!("l{n}"), duration, never).await;
+        assert_eq!(outcome, Outcome::Complete);
+    }
+    let outcomes = streams_during_shutdown(&node, duration).await;
+    let cut: Vec<_> = outcomes.iter().filter(|o| o.1 == Outcome::Cut).collect();
+    assert!(cut.is_empty(), "accepted, then cut: {cut:?}");
+    let margin = Duration::from_secs(1);
+    let fits = |at: Duration| at + duration + margin < node.settings.grace;
+    let refused: Vec<_> = outcomes
+        .iter()
+        .filter(|o| o.1 == Outcome::Refused && fits(o.0) && o.0 < Duration::from_secs(2))
+        .collect();
+    assert!(refused.is_empty(), "refused without need: {refused:?}");
+}
+
+// How long a stream takes is known only on average. When callers have learnt of other entries, an
+// entry that shuts down must not rely on it.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_refuses_late_streams_that_may_outlast_the_grace_period() {
+    let node = stream_node();
+    let outcomes = streams_during_shutdown(&node, Duration::from_secs(5)).await;
+    let cut: Vec<_> = outcomes
+        .iter()
+        .filter(|o| o.1 == Outcome::Cut && o.0 > Duration::from_millis(2800))
+        .collect();
+    assert!(cut.is_empty(), "accepted late, then cut: {cut:?}");
+}
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -165,6 +165,8 @@
     Stream(Vec<&'static str>, Result<(), &'static str>),
     /// Streams chunks, then sends nothing more.
     Stall(Vec<&'static str>),
+    /// Streams a chunk, and another one after a delay, then ends cleanly.
+    Delayed(&'static str, &'static str, Duration),
     /// Streams a chunk, then another one at each interval without end.
     Drip(&'static str, &'static str, Duration),
     /// Fails with this error.
@@ -214,6 +216,8 @@
     end: Option<Result<(), &'static str>>,
     /// Chunk that is sent at each interval after the others.
     drip: Option<(&'static str, Duration)>,
+    /// Chunk that is sent once, after a delay.
+    delayed: Option<(&'static str, Duration)>,
     ended: bool,
     cancelled: Arc<Mutex<usize>>,
 }
@@ -227,6 +231,11 @@
             tokio::time::sleep(interval).await;
             return Ok(Some(Bytes::from_static(chunk.as_bytes())));
         }
+        if let Some((chunk, delay)) = self.delayed {
+            tokio::time::sleep(delay).await;
+            self.delayed = None;
+            return Ok(Some(Bytes::from_static(chunk.as_bytes())));
+        }
         match self.end {
             Some(Ok(())) => {
                 self.ended = true;
@@ -264,11 +273,12 @@
             .lock()
             .pop_front()
             .expect("more sends than scripted outcomes");
-        let stream = |chunks: Vec<&'static str>, end, drip| {
+        let stream = |chunks: Vec<&'static str>, end, drip, delayed| {
             ResponseBody::Stream(ScriptedBody {
                 chunks: chunks.into(),
                 end,
                 drip,
+                delayed,
                 ended: false,
                 cancelled: Arc::clone(&self.cancelled),
             })
@@ -280,11 +290,16 @@
         };
         let (status, body) = match step {
             ScriptedSend::Respond(status) | ScriptedSend::Notify(status, _) => (status, whole()),
-            ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None)),
-            ScriptedSend::Stall(chunks) => (200, stream(chunks, None, None)),
-            ScriptedSend::Drip(first, chunk, interval) => {
-                (200, stream(vec![first], None, Some((chunk, interval))))
-            }
+            ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None, None)),
+            ScriptedSend::Stall(chunks) => (200, stream(chunks, None, None, None)),
+            ScriptedSend::Drip(first, chunk, interval) => (
+                200,
+                stream(vec![first], None, Some((chunk, interval)), None),
+            ),
+            ScriptedSend::Delayed(first, chunk, delay) => (
+                200,
+                stream(vec![first], Some(Ok(())), None, Some((chunk, delay))),
+            ),
             ScriptedSend::Fail(failure) => return Err(failure),
             ScriptedSend::Hang => std::future::pending().await,
         };
