shutdown: accept only requests that end within the grace period

Cause: an entry that shuts down accepted every stream for 3.2 s, by a constant that was chosen to end before it stops accepting connections, not by how long streams take. One that takes longer than what is left is cut; it need not be late: of streams that take 7 s those sent from 1.1 s on were cut. The class: work is accepted in a phase that ends at a fixed time, without comparing that time with the work's own.

Now a request is accepted if its expected duration, which the entry measures by route and output length, fits into the rest of the grace period; a stream that arrives when callers have had time to learn of other entries (2.5 s), only if it times out before. Any other is refused at once, so that its caller goes to another entry within tens of milliseconds. That a process handles SIGTERM late was ruled out by the record: both requests came before its own limit of 3.2 s.

--- a/entry/src/call.rs
+++ b/entry/src/call.rs
@@ -10,6 +10,7 @@
 use crate::CustomerName;
 use crate::Fingerprint;
 use crate::PartId;
+use crate::Route;
 
 /// A part of a prompt that several requests may have in common, which allows cache reuse.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,6 +74,11 @@
         self.target.split('?').next().unwrap_or(&self.target)
     }
 
+    /// Returns how long the caller waits for the response on a route.
+    pub(crate) fn timeout_on(&self, route: &Route) -> Duration {
+        self.timeout.unwrap_or(route.timeout).min(route.timeout)
+    }
+
     /// Returns a hash of host, target, customer and body, which is the same for every retry.
     pub fn fingerprint(&self, customer: Option<&CustomerName>) -> Fingerprint {
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::log_limit;
 use crate::quota_owner;
 use crate::reservation::Reservation;
+use crate::shutdown::LateRequest;
 
 /// Retry-After while no configuration or endpoint list is known.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -35,13 +36,6 @@
 /// Retry-After during shutdown; callers retry at another entry.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Time after the start of shutdown during which new streams are accepted; ends shortly before
-/// shutdown may stop accepting connections (3.5 s, see `shutdown.rs`).
-const STREAM_ACCEPT_PERIOD: Duration = Duration::from_millis(3200);
-
-/// Time before the end of the grace period from which no more requests are accepted.
-const SHUTDOWN_ACCEPT_MARGIN: Duration = Duration::from_secs(2);
-
 /// Response to a caller.
 #[derive(Debug)]
 pub enum CallerResponse<E: EndpointClient> {
@@ -120,42 +114,41 @@
     if let Some(customer) = customer {
         charge(node, customer, call).await?;
     }
-    let timeout = call.timeout.unwrap_or(route.timeout).min(route.timeout);
     let admitted = AdmittedRequest {
         call: Arc::clone(call),
         priority: customer.and_then(|c| c.priority).unwrap_or(route.priority),
         customer: customer.map(|c| c.name.clone()),
         fingerprint,
-        deadline: call.received + timeout,
+        deadline: call.received + call.timeout_on(&route),
         route,
         config: Arc::clone(&config),
     };
     Ok(admitted)
 }
 
-/// Returns whether a request of a route can still finish before the process stops, and logs the
-/// decision during shutdown.
+/// Returns whether a request ends before the process stops, and logs the decision during shutdown.
 fn accepts_request(node: &Node, route: &Route, call: &Call) -> bool {
     let Some(started) = node.shutdown_started() else {
         return true;
     };
-    let since = started.elapsed();
-    let limit = if route.kind.is_stream() {
-        STREAM_ACCEPT_PERIOD
-    } else {
-        node.settings.grace.saturating_sub(SHUTDOWN_ACCEPT_MARGIN)
+    let request = LateRequest {
+        since: started.elapsed(),
+        expected: node.expected_duration(route, call),
+        timeout: call.timeout_on(route),
+        is_stream: route.kind.is_stream(),
     };
-    let accepted = since < limit;
+    let accepted = request.is_accepted(node.settings.grace);
     let outcome = if accepted { "accepted" } else { "refused" };
     node.metrics.record_shutdown(outcome);
     tracing::info!(
         event = "stopping_request",
         id = call.id,
         outcome,
-        since_ms = crate::millis(since),
-        left_ms = crate::millis(node.settings.grace.saturating_sub(since)),
-        expected_ms = crate::millis(node.expected_duration(route, call)),
-        stream = route.kind.is_stream(),
+        since_ms = crate::millis(request.since),
+        left_ms = crate::millis(node.settings.grace.saturating_sub(request.since)),
+        expected_ms = crate::millis(request.expected),
+        timeout_ms = crate::millis(request.timeout),
+        stream = request.is_stream,
     );
     accepted
 }
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -22,6 +22,40 @@
 /// Time before the end of the grace period at which shutdown stops waiting for requests.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the end of the grace period from which no more requests are accepted.
+const ACCEPT_MARGIN: Duration = Duration::from_secs(2);
+
+/// A request that arrives during shutdown.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LateRequest {
+    /// Time from the start of shutdown to the request.
+    pub(crate) since: Duration,
+    /// Duration within which such a request most likely ends.
+    pub(crate) expected: Duration,
+    /// Time after which its caller no longer waits.
+    pub(crate) timeout: Duration,
+    /// Whether its response is an event stream.
+    pub(crate) is_stream: bool,
+}
+
+impl LateRequest {
+    /// Returns whether the request ends within the grace period.
+    ///
+    /// A stream still in progress then is cut. Its expected duration decides while callers cannot
+    /// know of other entries yet; later on it is accepted only if it times out in time.
+    pub(crate) fn is_accepted(&self, grace: Duration) -> bool {
+        if self.since + ACCEPT_MARGIN >= grace {
+            return false;
+        }
+        let left = grace.saturating_sub(GRACE_PERIOD_MARGIN + self.since);
+        if self.is_stream && self.since >= IDLE_CLOSE_DELAY {
+            self.timeout <= left
+        } else {
+            self.expected <= left
+        }
+    }
+}
+
 /// State of the callers' connections to an entry.
 #[derive(Clone, Debug, Default)]
 pub struct CallerConnections {
