shutdown: requests without a response get one before the process ends

Cause: when the shutdown stops waiting, 0.4 s before the end of the grace period, requests still in progress were left alone, and their connections closed with the process. Nobody could tell them from requests that were never read.

Now the entry ends them itself: one that has been sent gets 502, which does not rule out that it ran, and its connection to the endpoint is closed; one that has not gets 503 with Retry-After. Streams with a first event go on until the process ends, as their response cannot be completed.

The test failed before ("left: 1, right: 0": requests in progress after shutdown) and passes.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -457,6 +457,12 @@
         Ok(())
     }
 
+    /// Returns the refusal of a request that shutdown ends; `after` applies if it was never sent.
+    pub(crate) fn shutdown_refusal(&mut self, after: Duration) -> Refusal {
+        self.may_have_run |= self.sends > 0;
+        self.final_refusal(RefusalKind::Stopping, Some(after))
+    }
+
     /// Returns `kind`, or a refusal that does not rule out execution if the request may have run.
     fn final_refusal(&self, kind: RefusalKind, after: Option<Duration>) -> Refusal {
         if !self.may_have_run {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -133,6 +133,8 @@
     pub config_changed: Notify,
     /// Cancelled when graceful shutdown starts.
     pub stopping: CancellationToken,
+    /// Cancelled when graceful shutdown no longer waits for requests without a response.
+    pub(crate) ending: CancellationToken,
     shutdown_started: OnceLock<Instant>,
     config: RwLock<Option<Arc<Config>>>,
     /// State that is sent to peers, with the time it was built.
@@ -165,6 +167,7 @@
             gossip_now: Notify::new(),
             config_changed: Notify::new(),
             stopping: CancellationToken::new(),
+            ending: CancellationToken::new(),
             shutdown_started: OnceLock::new(),
             config: RwLock::new(None),
             cached_state: Mutex::default(),
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -208,7 +208,12 @@
     let mut attempts = Attempts::new(admitted);
     let service = attempts.service().clone();
     node.retries.lock().record_request(&service, Instant::now());
-    match attempts.run(node, &**client).await {
+    let sent = tokio::select! {
+        biased;
+        () = node.ending.cancelled() => Err(attempts.shutdown_refusal(SHUTDOWN_RETRY_AFTER)),
+        sent = attempts.run(node, &**client) => sent,
+    };
+    match sent {
         Ok((response, reservation)) => {
             build_response(node, client, attempts, response, reservation).await
         }
@@ -272,16 +277,19 @@
                 body,
                 reservation,
             );
-            match events.wait_for_first().await {
-                Ok(()) => {
-                    record_usage(node, customer.as_ref());
-                    CallerResponse::Stream {
-                        status,
-                        headers,
-                        events: Box::new(events),
-                    }
-                }
-                Err(_broken) => CallerResponse::Refused(Refusal::new(RefusalKind::Broken)),
+            let has_begun = tokio::select! {
+                biased;
+                () = node.ending.cancelled() => false,
+                first = events.wait_for_first() => first.is_ok(),
+            };
+            if !has_begun {
+                return CallerResponse::Refused(Refusal::new(RefusalKind::Broken));
+            }
+            record_usage(node, customer.as_ref());
+            CallerResponse::Stream {
+                status,
+                headers,
+                events: Box::new(events),
             }
         }
     }
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -22,6 +22,9 @@
 /// Time before the end of the grace period at which shutdown stops waiting for requests.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the final responses to requests that are still in progress when shutdown stops waiting.
+const FINAL_RESPONSE_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time before the end of the grace period from which no more requests are accepted.
 const ACCEPT_MARGIN: Duration = Duration::from_secs(2);
 
@@ -68,7 +71,7 @@
 }
 
 /// Shuts down gracefully: waits for requests in progress until shortly before the grace period
-/// ends.
+/// ends, then ends those that have no response yet.
 pub async fn shut_down(node: &Node, connections: &CallerConnections) {
     let started = Instant::now();
     let end = started + node.settings.grace.saturating_sub(GRACE_PERIOD_MARGIN);
@@ -84,7 +87,23 @@
     connections.tasks.close();
     // Requests that arrived since the last check are completed too.
     let finished = tokio::time::timeout_at(end, connections.tasks.wait()).await;
-    if finished.is_err() {
+    if finished.is_err() || node.in_flight() > 0 {
         tracing::warn!(event = "stopped_unfinished", in_flight = node.in_flight());
+        end_requests(node, connections).await;
+    }
+}
+
+/// Ends the requests that have no response yet, and waits until their responses are written.
+async fn end_requests(node: &Node, connections: &CallerConnections) {
+    let end = Instant::now() + FINAL_RESPONSE_PERIOD;
+    node.ending.cancel();
+    while node.in_flight() > 0 && Instant::now() < end {
+        tokio::time::sleep(FINAL_RESPONSE_PERIOD / 10).await;
+    }
+    if tokio::time::timeout_at(end, connections.tasks.wait())
+        .await
+        .is_err()
+    {
+        tracing::debug!(event = "connections_open", in_flight = node.in_flight());
     }
 }
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -10,6 +10,7 @@
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Prompt;
+use hawthornrack_entry::RefusalKind;
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::serve;
 use hawthornrack_entry::shut_down;
@@ -137,3 +138,31 @@
         .collect();
     assert!(cut.is_empty(), "accepted late, then cut: {cut:?}");
 }
+
+// A request in progress at the end of a shutdown got neither a response nor a refusal, since the
+// process ended first.
+#[rstest]
+#[case::without_response(ScriptedSend::Hang)]
+#[case::before_the_first_event(ScriptedSend::Stall(Vec::new()))]
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_answers_requests_that_it_cannot_complete(#[case] send: ScriptedSend) {
+    let mut config = config(RouteKind::Stream);
+    config.routes["h"][0].timeout = Duration::from_secs(15);
+    config.routes["h"][0].max_pause = Duration::from_secs(10);
+    let node = node(config, 4);
+    let client = ScriptedClient::new([send]);
+    let request = tokio::spawn({
+        let node = Arc::clone(&node);
+        async move { serve(&node, &client, stream_call("1")).await }
+    });
+    tokio::task::yield_now().await;
+    let connections = CallerConnections::default();
+    shut_down(&node, &connections).await;
+    assert_eq!(node.in_flight(), 0);
+    let response = tokio::time::timeout(Duration::ZERO, request).await;
+    let response = response.expect("no response").unwrap();
+    assert!(
+        matches!(response, CallerResponse::Refused(refusal) if refusal.kind == RefusalKind::Broken),
+        "{response:?}"
+    );
+}
