--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -19,8 +19,9 @@
 /// Interval for checking whether requests are still in progress.
 const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time before the end of the grace period at which shutdown stops waiting for requests.
-const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the grace period at which shutdown stops waiting for requests; the final
+/// responses and duties take place in it.
+const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(600);
 
 /// Time for the final responses to requests that are still in progress when shutdown stops waiting.
 const FINAL_RESPONSE_PERIOD: Duration = Duration::from_millis(100);
