shutdown: the last duties end before the grace period does

What operators saw: processes that the platform had to kill at the end of the grace period (2 to 4 of 88 restarted in turn), with their usage counts undelivered. Cause: the state for peers, the delivery of usage counts and the end of the duties followed each other without a limit, each with timeouts of its own of up to 1.5 s; one silent peer was enough.

They run beside each other now, until 0.1 s before the end of the grace period.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -193,6 +193,7 @@
 pub use serve::CallerResponse;
 pub use serve::serve;
 pub use shutdown::CallerConnections;
+pub use shutdown::finish_duties;
 pub use shutdown::shut_down;
 pub use sliding_counter::SlidingCounter;
 pub use sse::EventSplitter;
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -1,13 +1,17 @@
 //! Graceful shutdown of an entry: callers move to other entries, then no more connections are
 //! accepted, and accepted requests are completed.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Node;
+use crate::deliver_newest;
+use crate::send_final_state;
 
 /// Time from the start of shutdown until idle caller connections are closed; by then callers have
 /// learnt the addresses of other entries.
@@ -23,6 +27,9 @@
 /// responses and duties take place in it.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time before the end of the grace period at which the process exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time for the final responses to requests that are still in progress when shutdown stops waiting.
 const FINAL_RESPONSE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -108,3 +115,26 @@
         tracing::debug!(event = "connections_open", in_flight = node.in_flight());
     }
 }
+
+/// Passes on what this entry knows, and waits for its duties to end, until shortly before the grace
+/// period ends.
+pub async fn finish_duties(node: &Arc<Node>, duties: JoinHandle<()>) {
+    let started = node.shutdown_started().unwrap_or_else(Instant::now);
+    let end = started + node.settings.grace.saturating_sub(EXIT_MARGIN);
+    let steps = async {
+        let ((), delivered, ended) =
+            tokio::join!(send_final_state(node), deliver_newest(node), duties);
+        if !delivered {
+            tracing::info!(
+                event = "usage_undelivered",
+                "the counts since the last delivery reach the lease holder by gossip"
+            );
+        }
+        if let Err(error) = ended {
+            tracing::warn!(event = "duties_failed", %error);
+        }
+    };
+    if tokio::time::timeout_at(end, steps).await.is_err() {
+        tracing::warn!(event = "duties_unfinished", in_flight = node.in_flight());
+    }
+}
