shutdown: late requests that may run only once are accepted only if they time out in time

Such a request was accepted until 2 s before the end of the grace period on the strength of its expected duration. If it took longer it ended with 502, which its caller may not send again; a refusal would have let it go to another entry. After the first 2.5 s its timeout decides now, as for streams. Requests that may be repeated are accepted by their expected duration alone: the fixed margin of 2 s is gone, since they get a response at the end in any case.

The test failed before: the request was sent.

--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -135,7 +135,7 @@
         since: started.elapsed(),
         expected: node.expected_duration(route, call),
         timeout: call.timeout_on(route),
-        is_stream: route.kind.is_stream(),
+        must_end: route.kind.is_stream() || !route.kind.is_retryable(),
     };
     let accepted = request.is_accepted(node.settings.grace);
     let outcome = if accepted { "accepted" } else { "refused" };
@@ -148,7 +148,7 @@
         left_ms = crate::millis(node.settings.grace.saturating_sub(request.since)),
         expected_ms = crate::millis(request.expected),
         timeout_ms = crate::millis(request.timeout),
-        stream = request.is_stream,
+        stream = route.kind.is_stream(),
     );
     accepted
 }
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -33,9 +33,6 @@
 /// Time for the final responses to requests that are still in progress when shutdown stops waiting.
 const FINAL_RESPONSE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time before the end of the grace period from which no more requests are accepted.
-const ACCEPT_MARGIN: Duration = Duration::from_secs(2);
-
 /// A request that arrives during shutdown.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LateRequest {
@@ -45,21 +42,18 @@
     pub(crate) expected: Duration,
     /// Time after which its caller no longer waits.
     pub(crate) timeout: Duration,
-    /// Whether its response is an event stream.
-    pub(crate) is_stream: bool,
+    /// Whether its caller cannot send it again elsewhere if it is cut.
+    pub(crate) must_end: bool,
 }
 
 impl LateRequest {
-    /// Returns whether the request ends within the grace period.
+    /// Returns whether the request is expected to end while the shutdown waits for it.
     ///
-    /// A stream still in progress then is cut. Its expected duration decides while callers cannot
-    /// know of other entries yet; later on it is accepted only if it times out in time.
+    /// While callers cannot know of other entries yet, its expected duration decides. Later on, one
+    /// that must end is accepted only if it times out in time.
     pub(crate) fn is_accepted(&self, grace: Duration) -> bool {
-        if self.since + ACCEPT_MARGIN >= grace {
-            return false;
-        }
         let left = grace.saturating_sub(GRACE_PERIOD_MARGIN + self.since);
-        if self.is_stream && self.since >= IDLE_CLOSE_DELAY {
+        if self.must_end && self.since >= IDLE_CLOSE_DELAY {
             self.timeout <= left
         } else {
             self.expected <= left
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -166,3 +166,20 @@
         "{response:?}"
     );
 }
+
+// A request that may run only once was accepted late, on the strength of its expected duration, and
+// ended with a status that does not allow its caller to send it again.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_refuses_late_requests_that_may_not_be_sent_again() {
+    let mut config = config(RouteKind::Once);
+    config.routes["h"][0].timeout = Duration::from_secs(15);
+    let node = node(config, 4);
+    node.begin_shutdown();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let client = ScriptedClient::new([]);
+    let response = serve(&node, &client, stream_call("1")).await;
+    assert!(
+        matches!(response, CallerResponse::Refused(refusal) if refusal.kind == RefusalKind::Stopping),
+        "{response:?}"
+    );
+}
