shutdown: the expected duration of a route leaves out branches without requests

A branch of weight 0 has no measured duration, and the 3 s assumed for it decided over the whole route, so that an entry in shutdown refused requests that take milliseconds. The test failed before.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -303,7 +303,8 @@
     pub(crate) fn expected_duration(&self, route: &Route, call: &Call) -> Duration {
         let tokens = call.prompt.as_ref().map(|p| p.max_output);
         let durations = self.durations.lock();
-        let bounds = route.branches.iter().map(|branch| {
+        let branches = route.branches.iter().filter(|b| b.weight > 0);
+        let bounds = branches.map(|branch| {
             let estimator = durations.get(&branch.service);
             estimator.map_or_else(
                 || DurationEstimator::default().upper_bound(&route.name, tokens),
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornrack_entry::Branch;
 use hawthornrack_entry::Call;
 use hawthornrack_entry::CallerConnections;
 use hawthornrack_entry::CallerResponse;
@@ -12,6 +13,7 @@
 use hawthornrack_entry::Prompt;
 use hawthornrack_entry::RefusalKind;
 use hawthornrack_entry::RouteKind;
+use hawthornrack_entry::ServiceName;
 use hawthornrack_entry::serve;
 use hawthornrack_entry::shut_down;
 use rstest::rstest;
@@ -183,3 +185,27 @@
         "{response:?}"
     );
 }
+
+// A branch that gets no requests has no measured duration; the duration assumed for it made an
+// entry refuse requests of a fast route.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_ignores_branches_without_requests() {
+    let mut config = config(RouteKind::Idempotent);
+    let unused = Branch {
+        service: ServiceName::from("unused"),
+        weight: 0,
+    };
+    config.routes["h"][0].branches.push(unused);
+    let node = node(config, 4);
+    let client = ScriptedClient::new(vec![ScriptedSend::Respond(200); LEARNING_REQUESTS + 1]);
+    for _ in 0..LEARNING_REQUESTS {
+        serve(&node, &client, call("1")).await;
+    }
+    node.begin_shutdown();
+    tokio::time::sleep(Duration::from_millis(5500)).await;
+    let response = serve(&node, &client, call("1")).await;
+    assert!(
+        matches!(response, CallerResponse::Whole { .. }),
+        "{response:?}"
+    );
+}
