--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -79,9 +79,10 @@
     let end = started + node.settings.grace.saturating_sub(GRACE_PERIOD_MARGIN);
     tracing::info!(event = "stopping", in_flight = node.in_flight());
     node.begin_shutdown();
-    tokio::time::sleep(IDLE_CLOSE_DELAY).await;
+    let close_at = started + IDLE_CLOSE_DELAY;
+    tokio::time::sleep_until(close_at.min(end)).await;
     connections.close_idle.cancel();
-    tokio::time::sleep(MIN_ACCEPT_PERIOD).await;
+    tokio::time::sleep_until((close_at + MIN_ACCEPT_PERIOD).min(end)).await;
     while node.in_flight() > 0 && Instant::now() < end {
         tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
     }
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -9,6 +9,7 @@
 use hawthornrack_entry::Call;
 use hawthornrack_entry::CallerConnections;
 use hawthornrack_entry::CallerResponse;
+use hawthornrack_entry::Metrics;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Prompt;
 use hawthornrack_entry::RefusalKind;
@@ -16,12 +17,15 @@
 use hawthornrack_entry::ServiceName;
 use hawthornrack_entry::serve;
 use hawthornrack_entry::shut_down;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::noop::NoopMeterProvider;
 use rstest::rstest;
 use testutils::ScriptedClient;
 use testutils::ScriptedSend;
 use testutils::call;
 use testutils::config;
 use testutils::node;
+use testutils::settings;
 use tokio::time::Instant;
 
 /// Interval at which requests arrive.
@@ -209,3 +213,19 @@
         "{response:?}"
     );
 }
+
+// With a grace period shorter than its fixed steps, the shutdown outlasted it.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_ends_within_a_short_grace_period() {
+    let mut settings = settings("entry-1");
+    settings.grace = Duration::from_secs(2);
+    let metrics = Metrics::new(&NoopMeterProvider::new().meter("test"));
+    let node = Node::new(settings, metrics);
+    let start = Instant::now();
+    shut_down(&node, &CallerConnections::default()).await;
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+}
