shutdown: no retry or resume that cannot end in time

Now the stream breaks at once, and its caller resumes it at another entry. The test failed before (two sends).

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::log_limit;
 use crate::prefill_time;
 use crate::reservation::Reservation;
+use crate::shutdown::time_left_in_shutdown;
 
 /// A request waits for a free slot for at most its objective divided by this.
 const MAX_WAIT_DIVISOR: u32 = 8;
@@ -394,13 +395,25 @@
         let now = Instant::now();
         let left = self.request.deadline.saturating_duration_since(now);
         let allowed = self.sends < self.request.route.attempts && left > MIN_SEND_TIME * 2;
-        if !allowed || node.crashes.lock().is_crashing(self.request.fingerprint) {
+        if !allowed
+            || !self.fits_shutdown(node)
+            || node.crashes.lock().is_crashing(self.request.fingerprint)
+        {
             return false;
         }
         let entries = node.entry_count();
         node.retries.lock().try_take(&self.service, entries, now)
     }
 
+    /// Returns whether another send is expected to end before a shutdown in progress does.
+    fn fits_shutdown(&self, node: &Node) -> bool {
+        let request = &self.request;
+        node.shutdown_started().is_none_or(|started| {
+            let left = time_left_in_shutdown(node.settings.grace, started.elapsed());
+            node.expected_duration(&request.route, &request.call) <= left
+        })
+    }
+
     /// Returns whether the request may be sent to another endpoint, ignoring the retry budget.
     pub(crate) fn can_resend(&self) -> bool {
         self.kind().is_retryable() && self.sends < self.request.route.attempts
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -52,7 +52,7 @@
     /// While callers cannot know of other entries yet, its expected duration decides. Later on, one
     /// that must end is accepted only if it times out in time.
     pub(crate) fn is_accepted(&self, grace: Duration) -> bool {
-        let left = grace.saturating_sub(GRACE_PERIOD_MARGIN + self.since);
+        let left = time_left_in_shutdown(grace, self.since);
         if self.must_end && self.since >= IDLE_CLOSE_DELAY {
             self.timeout <= left
         } else {
@@ -61,6 +61,11 @@
     }
 }
 
+/// Returns how long a shutdown that began `since` ago still waits for requests.
+pub(crate) fn time_left_in_shutdown(grace: Duration, since: Duration) -> Duration {
+    grace.saturating_sub(GRACE_PERIOD_MARGIN + since)
+}
+
 /// State of the callers' connections to an entry.
 #[derive(Clone, Debug, Default)]
 pub struct CallerConnections {
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -229,3 +229,26 @@
         start.elapsed()
     );
 }
+
+// A stream that broke during shutdown was resumed at another endpoint with too little time left,
+// and cut a second time.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_does_not_resume_streams_that_cannot_finish() {
+    let node = stream_node();
+    let seconds = Duration::from_secs(4);
+    let never = Instant::now() + Duration::from_hours(1);
+    for n in 0..LEARNING_REQUESTS {
+        serve_stream(&node, &format!("l{n}"), seconds, never).await;
+    }
+    let breaks = ScriptedSend::Stream(vec!["id: 1\ndata: a\n\n"], Err("reset"));
+    let client = ScriptedClient::new([breaks, ScriptedSend::Stall(Vec::new())]);
+    let response = serve(&node, &client, stream_call("1")).await;
+    let CallerResponse::Stream { mut events, .. } = response else {
+        panic!("no stream: {response:?}");
+    };
+    assert!(events.next().await.unwrap().is_some());
+    node.begin_shutdown();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(events.next().await.is_err());
+    assert_eq!(client.seen.lock().len(), 1);
+}
