--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -1,5 +1,9 @@
 //! Graceful shutdown of an entry: callers move to other entries, then no more connections are
 //! accepted, and accepted requests are completed.
+//!
+//! Its signals, in the order in which they are given: [`Node::stopping`] (the directory names other
+//! entries, responses close their connections), [`CallerConnections::close_idle`],
+//! [`CallerConnections::stop_accepting`], and `Node::ending` (requests without a response get one).
 
 use std::sync::Arc;
 use std::time::Duration;
