attempt: a send that may have run is logged with how it ended and its prompt parts

The reason of `MayHaveRun` is now a type: connection broken, timed out (also a connection cut on the way, by TCP's user timeout), or an invalid response. `send_failed` names it as `cause`, and the ids of the request's prompt parts as `parts`. What is counted as a crash stays as it was.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
+use crate::Interruption;
 use crate::Node;
 use crate::Occupancy;
 use crate::PlacementRequest;
@@ -356,10 +357,8 @@
         };
         let response = tokio::time::timeout(limit, client.send(dispatch)).await;
         let response = response.unwrap_or_else(|_elapsed| {
-            Err(SendFailure::MayHaveRun(format!(
-                "no response within {} ms",
-                limit.as_millis()
-            )))
+            let reason = format!("no response within {} ms", limit.as_millis());
+            Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
         });
         node.metrics.record_send(send_outcome(&response));
         response
@@ -500,6 +499,10 @@
 ) {
     let now = Instant::now();
     let request = &attempts.request;
+    let cause = match failure {
+        SendFailure::MayHaveRun(interruption) => Some(interruption.name()),
+        SendFailure::NotWritten(_) | SendFailure::Rejected { .. } => None,
+    };
     tracing::info!(
         event = "send_failed",
         id = request.call.id,
@@ -507,6 +510,8 @@
         sends = attempts.sends,
         after_ms = crate::millis(now.duration_since(reservation.started)),
         %failure,
+        cause,
+        parts = request.call.prompt.as_ref().map(crate::Prompt::part_list),
     );
     match failure {
         SendFailure::Rejected {
--- a/entry/src/call.rs
+++ b/entry/src/call.rs
@@ -35,6 +35,12 @@
 }
 
 impl Prompt {
+    /// Returns the ids of all parts as text, for logs.
+    pub(crate) fn part_list(&self) -> String {
+        let ids: Vec<String> = self.parts.iter().map(|p| p.id.to_string()).collect();
+        ids.join(",")
+    }
+
     /// Returns the maximum number of tokens that the request occupies in the KV cache.
     pub fn max_tokens(&self) -> u64 {
         u64::from(self.input) + u64::from(self.max_output)
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -1,6 +1,7 @@
 //! Pooled HTTP/1 client connections to endpoints and to the platform, one request at a time per
 //! connection.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::Interruption;
 use crate::SendFailure;
 
 /// Time within which a connection must be established.
@@ -48,7 +50,7 @@
     /// request was not written: {0}
     NotWritten(String),
     /// connection failed after the request may have been written: {0}
-    MaybeWritten(String),
+    MaybeWritten(Interruption),
 }
 
 impl From<ExchangeError> for SendFailure {
@@ -116,11 +118,11 @@
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let unwritten = error.take_message().is_some();
-                let reason = error.into_error().to_string();
+                let error = error.into_error();
                 Err(if unwritten {
-                    ExchangeError::NotWritten(reason)
+                    ExchangeError::NotWritten(error.to_string())
                 } else {
-                    ExchangeError::MaybeWritten(reason)
+                    ExchangeError::MaybeWritten(interruption_of(&error))
                 })
             }
         }
@@ -131,6 +133,26 @@
     }
 }
 
+/// Returns how an exchange ended, from the error of its connection.
+///
+/// A connection whose peer no longer acknowledges data may be cut on the way, so that it counts as a
+/// timeout.
+pub fn interruption_of(error: &hyper::Error) -> Interruption {
+    let reason = error.to_string();
+    let io = std::error::Error::source(error).and_then(|e| e.downcast_ref::<std::io::Error>());
+    let is_cut = matches!(
+        io.map(std::io::Error::kind),
+        Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable)
+    );
+    if is_cut {
+        Interruption::TimedOut(reason)
+    } else if error.is_parse() {
+        Interruption::InvalidResponse(reason)
+    } else {
+        Interruption::ConnectionBroken(reason)
+    }
+}
+
 /// Returns how long a connection may be idle, given the idle timeout that its server stated.
 pub fn client_idle_timeout(stated: Option<Duration>) -> Duration {
     stated.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -49,6 +49,28 @@
     pub retry_after: Option<Duration>,
 }
 
+/// How a send or a stream ended without the endpoint saying whether it ran the request.
+#[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
+pub enum Interruption {
+    /// {0}
+    ConnectionBroken(String),
+    /// {0}
+    TimedOut(String),
+    /// {0}
+    InvalidResponse(String),
+}
+
+impl Interruption {
+    /// Returns the name used in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::ConnectionBroken(_) => "connection_broken",
+            Self::TimedOut(_) => "timed_out",
+            Self::InvalidResponse(_) => "invalid_response",
+        }
+    }
+}
+
 /// Reason why a send failed.
 #[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
 pub enum SendFailure {
@@ -64,7 +86,7 @@
         notice: EndpointNotice,
     },
     /// endpoint may have run the request: {0}
-    MayHaveRun(String),
+    MayHaveRun(Interruption),
 }
 
 /// Response of an endpoint.
@@ -97,8 +119,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a description when the body ended before it was complete.
-    fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, String>> + Send;
+    /// Returns an [`Interruption`] when the body ended before it was complete.
+    fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, Interruption>> + Send;
 }
 
 /// Client that sends requests to endpoints.
--- a/entry/src/ids.rs
+++ b/entry/src/ids.rs
@@ -97,3 +97,9 @@
 /// Id of a prompt part that several prompts may share.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::EndpointResponse;
 use crate::EventSplitter;
 use crate::InFlightGuard;
+use crate::Interruption;
 use crate::Node;
 use crate::ResponseBody;
 use crate::SendFailure;
@@ -61,7 +62,7 @@
 enum ReadOutcome {
     Events(Bytes),
     End,
-    Failed(String),
+    Failed(Interruption),
 }
 
 impl<E: EndpointClient> Drop for EventRelay<E> {
@@ -154,14 +155,15 @@
                     self.source = None;
                     return Ok(None);
                 }
-                ReadOutcome::Failed(reason) => self.resume(reason).await?,
+                ReadOutcome::Failed(interruption) => self.resume(interruption).await?,
             }
         }
     }
 
     /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self, reason: String) -> Result<(), StreamBroken> {
-        let failure = SendFailure::MayHaveRun(reason.clone());
+    async fn resume(&mut self, interruption: Interruption) -> Result<(), StreamBroken> {
+        let reason = interruption.to_string();
+        let failure = SendFailure::MayHaveRun(interruption);
         if let Some(source) = self.source.take() {
             self.attempts
                 .record_stream_failure(&self.node, &source.reservation, &failure);
@@ -193,10 +195,14 @@
 ) -> ReadOutcome {
     loop {
         let chunk = match tokio::time::timeout_at(until, source.body.next()).await {
-            Err(_elapsed) => return ReadOutcome::Failed("no event within the timeout".to_owned()),
-            Ok(Err(reason)) => return ReadOutcome::Failed(reason),
+            Err(_elapsed) => {
+                let reason = "no event within the timeout".to_owned();
+                return ReadOutcome::Failed(Interruption::TimedOut(reason));
+            }
+            Ok(Err(interruption)) => return ReadOutcome::Failed(interruption),
             Ok(Ok(None)) if splitter.has_partial() => {
-                return ReadOutcome::Failed("stream ended within an event".to_owned());
+                let reason = "stream ended within an event".to_owned();
+                return ReadOutcome::Failed(Interruption::ConnectionBroken(reason));
             }
             Ok(Ok(None)) => return ReadOutcome::End,
             Ok(Ok(Some(chunk))) => chunk,
@@ -204,7 +210,10 @@
         match splitter.push(&chunk) {
             Ok(Some(events)) => return ReadOutcome::Events(events),
             Ok(None) => {}
-            Err(error) => return ReadOutcome::Failed(error.to_string()),
+            Err(error) => {
+                let interruption = Interruption::InvalidResponse(error.to_string());
+                return ReadOutcome::Failed(interruption);
+            }
         }
     }
 }
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -8,6 +8,7 @@
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Config;
 use hawthornrack_entry::EndpointNotice;
+use hawthornrack_entry::Interruption;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Refusal;
 use hawthornrack_entry::RefusalKind;
@@ -24,7 +25,9 @@
 use tokio::time::Instant;
 
 fn may_have_run() -> ScriptedSend {
-    ScriptedSend::Fail(SendFailure::MayHaveRun("reset".to_owned()))
+    ScriptedSend::Fail(SendFailure::MayHaveRun(Interruption::ConnectionBroken(
+        "reset".to_owned(),
+    )))
 }
 
 fn rejected() -> ScriptedSend {
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -23,6 +23,7 @@
 use hawthornrack_entry::EntryName;
 use hawthornrack_entry::EntrySettings;
 use hawthornrack_entry::ExposureBounds;
+use hawthornrack_entry::Interruption;
 use hawthornrack_entry::Metrics;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Quota;
@@ -223,7 +224,7 @@
 }
 
 impl ChunkStream for ScriptedBody {
-    async fn next(&mut self) -> Result<Option<Bytes>, String> {
+    async fn next(&mut self) -> Result<Option<Bytes>, Interruption> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Ok(Some(Bytes::from_static(chunk.as_bytes())));
         }
@@ -241,7 +242,7 @@
                 self.ended = true;
                 Ok(None)
             }
-            Some(Err(reason)) => Err(reason.to_owned()),
+            Some(Err(reason)) => Err(Interruption::ConnectionBroken(reason.to_owned())),
             None => std::future::pending().await,
         }
     }
