crash tests: a prompt part crashes endpoint after endpoint (failing)

The third test holds already: no sound part is blamed when many endpoints, or all connections of an entry, fail at one moment. It guards the fix.

--- /dev/null
+++ b/entry/tests/test_crash_parts.rs
@@ -0,0 +1,442 @@
+//! Prompt parts that crash the endpoints on which requests with them run, seen by several entries.
+
+mod testutils;
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornrack_entry::Call;
+use hawthornrack_entry::CallerResponse;
+use hawthornrack_entry::Config;
+use hawthornrack_entry::Dispatch;
+use hawthornrack_entry::EndpointClient;
+use hawthornrack_entry::EndpointNotice;
+use hawthornrack_entry::EndpointRecord;
+use hawthornrack_entry::EndpointResponse;
+use hawthornrack_entry::GossipRequest;
+use hawthornrack_entry::Interruption;
+use hawthornrack_entry::Metrics;
+use hawthornrack_entry::Node;
+use hawthornrack_entry::PartId;
+use hawthornrack_entry::Prompt;
+use hawthornrack_entry::PromptPart;
+use hawthornrack_entry::RefusalKind;
+use hawthornrack_entry::ResponseBody;
+use hawthornrack_entry::RouteKind;
+use hawthornrack_entry::SendFailure;
+use hawthornrack_entry::apply_reply;
+use hawthornrack_entry::handle_exchange;
+use hawthornrack_entry::serve;
+use hyper::HeaderMap;
+use indexmap::IndexMap;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::noop::NoopMeterProvider;
+use parking_lot::Mutex;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+use testutils::ScriptedBody;
+use testutils::call;
+use testutils::config;
+use testutils::endpoint;
+use testutils::route;
+use testutils::settings;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Part that crashes every endpoint that runs it.
+const BAD: PartId = PartId(0xbad);
+
+/// First part of all other requests.
+const FIRST: PartId = PartId(1);
+
+/// Number of subjects: second parts that some sound requests share.
+const SUBJECTS: u64 = 60;
+
+/// Number of endpoints.
+const ENDPOINTS: usize = 24;
+
+/// Time after which a crashed endpoint is back.
+const RESTART_TIME: Duration = Duration::from_secs(4);
+
+/// Time that a sound request runs.
+const RUN_TIME: Duration = Duration::from_millis(1200);
+
+/// Time for which a request runs before it crashes its endpoint.
+const CRASH_TIME: Duration = Duration::from_millis(120);
+
+/// Time within which all entries must know of crashes.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Number of live peers that an entry contacts after an urgent change.
+const URGENT_FAN_OUT: usize = 12;
+
+/// One process of an endpoint; running requests end when the value turns `true`.
+#[derive(Debug)]
+struct Process {
+    record: EndpointRecord,
+    broken: watch::Sender<bool>,
+}
+
+/// Entries, endpoints and what happened to them.
+#[derive(Debug)]
+struct System {
+    nodes: Vec<Arc<Node>>,
+    clients: Vec<Arc<CrashingClient>>,
+    processes: Mutex<IndexMap<String, Process>>,
+    /// Time of each crash.
+    crashes: Mutex<Vec<Instant>>,
+    /// Time of each send of a request with the bad part.
+    bad_sends: Mutex<Vec<Instant>>,
+    /// Time of each response to a sound request, and the reason of a refusal.
+    sound: Mutex<Vec<(Instant, Option<RefusalKind>)>>,
+}
+
+/// Client of one entry, whose endpoints crash when they run the bad part.
+#[derive(Debug)]
+struct CrashingClient {
+    system: Weak<System>,
+    /// Breaks all connections of the entry when it changes.
+    resets: watch::Sender<u32>,
+}
+
+fn connection_broken() -> SendFailure {
+    SendFailure::MayHaveRun(Interruption::ConnectionBroken("reset".to_owned()))
+}
+
+impl EndpointClient for CrashingClient {
+    type Body = ScriptedBody;
+
+    async fn send(
+        &self,
+        dispatch: Dispatch<'_>,
+    ) -> Result<EndpointResponse<ScriptedBody>, SendFailure> {
+        let system = self.system.upgrade().unwrap();
+        let id = dispatch.endpoint.to_string();
+        let process = system
+            .processes
+            .lock()
+            .get(&id)
+            .map(|p| p.broken.subscribe());
+        let Some(mut broken) = process else {
+            return Err(SendFailure::NotWritten("Connection refused".to_owned()));
+        };
+        let mut resets = self.resets.subscribe();
+        let is_bad = has_bad_part(dispatch.call);
+        if is_bad {
+            system.bad_sends.lock().push(Instant::now());
+        }
+        let run_time = if is_bad { CRASH_TIME } else { RUN_TIME };
+        tokio::select! {
+            _ = broken.changed() => Err(connection_broken()),
+            _ = resets.changed() => Err(connection_broken()),
+            () = tokio::time::sleep(run_time) => {
+                if is_bad {
+                    system.crash(&id);
+                    return Err(connection_broken());
+                }
+                Ok(EndpointResponse {
+                    status: 200,
+                    headers: HeaderMap::new(),
+                    body: ResponseBody::Whole(Bytes::from_static(b"answer")),
+                    closing: false,
+                    notice: EndpointNotice::default(),
+                })
+            }
+        }
+    }
+}
+
+fn has_bad_part(call: &Call) -> bool {
+    let prompt = call.prompt.as_ref();
+    prompt.is_some_and(|p| p.parts.iter().any(|part| part.id == BAD))
+}
+
+fn system_config() -> Config {
+    let mut config = config(RouteKind::Idempotent);
+    let mut route = route("/a/", RouteKind::Idempotent);
+    route.anonymous = true;
+    route.timeout = Duration::from_secs(8);
+    route.objective = Duration::from_secs(4);
+    config.routes.insert("h".to_owned(), vec![route]);
+    config
+}
+
+fn request(id: u64, parts: &[PartId]) -> Call {
+    let parts = parts.iter().copied().chain([PartId(1_000_000 + id)]);
+    let parts = parts.map(|id| PromptPart { id, tokens: 10 });
+    Call {
+        body: Bytes::from(id.to_string()),
+        timeout: Some(Duration::from_secs(8)),
+        prompt: Some(Prompt {
+            parts: parts.collect(),
+            input: 40,
+            max_output: 10,
+            hint: None,
+        }),
+        ..call(&id.to_string())
+    }
+}
+
+impl System {
+    /// Starts a system of `entries` that know each other and exchange state.
+    fn start(entries: usize, seed: u64) -> Arc<Self> {
+        let records: Vec<_> = (0..ENDPOINTS).map(|i| endpoint(&format!("e{i}"))).collect();
+        let nodes: Vec<_> = (0..entries).map(|i| new_node(i, &records)).collect();
+        let system = Arc::new_cyclic(|weak| Self {
+            clients: (0..entries)
+                .map(|_| {
+                    Arc::new(CrashingClient {
+                        system: Weak::clone(weak),
+                        resets: watch::Sender::new(0),
+                    })
+                })
+                .collect(),
+            nodes,
+            processes: Mutex::new(records.into_iter().map(new_process).collect()),
+            crashes: Mutex::default(),
+            bad_sends: Mutex::default(),
+            sound: Mutex::default(),
+        });
+        for number in 0..entries {
+            exchange(&system.nodes[number], &system.nodes[0]);
+        }
+        for number in 0..entries {
+            exchange(&system.nodes[number], &system.nodes[0]);
+            let rng = SmallRng::seed_from_u64(seed * 1000 + number as u64);
+            tokio::spawn(run_gossip(Arc::clone(&system), number, rng));
+        }
+        system
+    }
+
+    /// Ends the process of an endpoint; it is back after [`RESTART_TIME`] under another id, or under
+    /// the same id every third time.
+    fn crash(self: &Arc<Self>, id: &str) {
+        let Some(process) = self.processes.lock().swap_remove(id) else {
+            return;
+        };
+        process.broken.send_replace(true);
+        let number = {
+            let mut crashes = self.crashes.lock();
+            crashes.push(Instant::now());
+            crashes.len()
+        };
+        let mut record = process.record;
+        record.incarnation += 1;
+        if !number.is_multiple_of(3) {
+            record.id = format!("r{number}").as_str().into();
+        }
+        let system = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_TIME).await;
+            let (id, process) = new_process(record);
+            system.processes.lock().insert(id, process);
+            let processes = system.processes.lock();
+            let records: Vec<_> = processes.values().map(|p| p.record.clone()).collect();
+            for node in &system.nodes {
+                let now = Instant::now();
+                node.endpoints.lock().replace(records.clone(), now);
+            }
+        });
+    }
+
+    /// Sends a request through a random entry.
+    fn send(self: &Arc<Self>, entry: usize, call: Call) {
+        let system = Arc::clone(self);
+        tokio::spawn(async move {
+            let is_bad = has_bad_part(&call);
+            let response = serve(&system.nodes[entry], &system.clients[entry], call).await;
+            let refused = match response {
+                CallerResponse::Refused(refusal) => Some(refusal.kind),
+                _ => None,
+            };
+            if !is_bad {
+                system.sound.lock().push((Instant::now(), refused));
+            }
+        });
+    }
+
+    /// Sends sound requests, 30 a second, at random times until `end`.
+    async fn send_sound(self: Arc<Self>, end: Instant, mut rng: SmallRng) {
+        let mut id = 0;
+        while Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(0..66))).await;
+            id += 1;
+            let subject = PartId(100 + rng.random_range(0..SUBJECTS));
+            let entry = rng.random_range(0..self.nodes.len());
+            self.send(entry, request(id, &[FIRST, subject]));
+        }
+    }
+
+    /// Sends a request with the bad part, no two alike.
+    fn send_bad(self: &Arc<Self>, id: u64, rng: &mut SmallRng) {
+        let entry = rng.random_range(0..self.nodes.len());
+        let subject = PartId(100 + rng.random_range(0..SUBJECTS));
+        let parts = match id % 3 {
+            0 => vec![FIRST, BAD],
+            1 => vec![FIRST, BAD, subject],
+            _ => vec![FIRST, subject, BAD],
+        };
+        self.send(entry, request(1_000_000 + id, &parts));
+    }
+
+    /// Returns how many requests with the bad part were sent later than [`CONTACT_TIME`] after the
+    /// fifth crash.
+    fn late_bad_sends(&self) -> usize {
+        let fifth = self.crashes.lock()[4];
+        let sends = self.bad_sends.lock();
+        sends
+            .iter()
+            .filter(|at| **at > fifth + CONTACT_TIME)
+            .count()
+    }
+
+    /// Returns how many sound requests were refused for crashes, and how many there were, from
+    /// `start` on.
+    fn sound_refused(&self, start: Instant) -> (usize, usize) {
+        let sound = self.sound.lock();
+        let later = || sound.iter().filter(|(at, _)| *at >= start);
+        let refused = later().filter(|(_, refused)| *refused == Some(RefusalKind::Crashing));
+        (refused.count(), later().count())
+    }
+}
+
+fn new_process(record: EndpointRecord) -> (String, Process) {
+    let process = Process {
+        record,
+        broken: watch::Sender::new(false),
+    };
+    (process.record.id.to_string(), process)
+}
+
+fn new_node(number: usize, records: &[EndpointRecord]) -> Arc<Node> {
+    let metrics = Metrics::new(&NoopMeterProvider::new().meter("test"));
+    let node = Node::new(settings(&format!("entry-{number}")), metrics);
+    let now = Instant::now();
+    node.endpoints.lock().replace(records.to_vec(), now);
+    assert!(node.apply_config(system_config(), "test"));
+    node
+}
+
+/// Runs one exchange, as an entry does with a peer.
+fn exchange(node: &Node, peer: &Node) {
+    let request = GossipRequest {
+        own: node.own_state(),
+        digest: node.members.lock().digest(),
+        has_endpoints: true,
+    };
+    let reply = handle_exchange(peer, request);
+    apply_reply(node, reply);
+}
+
+/// Exchanges state with random peers at the entries' round interval, and with several at once after
+/// an urgent change.
+async fn run_gossip(system: Arc<System>, number: usize, mut rng: SmallRng) {
+    let node = &system.nodes[number];
+    let interval = Duration::from_millis(5 * system.nodes.len() as u64);
+    let interval = interval.max(Duration::from_millis(300));
+    let other = |rng: &mut SmallRng| {
+        let step = rng.random_range(1..system.nodes.len());
+        &system.nodes[(number + step) % system.nodes.len()]
+    };
+    loop {
+        let round = interval.mul_f64(rng.random_range(0.8..1.2));
+        tokio::select! {
+            () = tokio::time::sleep(round) => exchange(node, other(&mut rng)),
+            () = node.gossip_now.notified() => {
+                node.invalidate_state();
+                for _ in 0..URGENT_FAN_OUT.min(system.nodes.len() - 1) {
+                    exchange(node, other(&mut rng));
+                }
+            }
+        }
+    }
+}
+
+/// Lets a system run until `end` with sound requests, and requests with the bad part at the given
+/// intervals.
+async fn run_with_bad_part(system: &Arc<System>, seed: u64, interval_ms: Range<u64>) {
+    let start = Instant::now();
+    let end = start + Duration::from_secs(40);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    tokio::spawn(Arc::clone(system).send_sound(end, SmallRng::seed_from_u64(seed + 100)));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let mut id = 0;
+    while Instant::now() < end {
+        system.send_bad(id, &mut rng);
+        id += 1;
+        let pause = rng.random_range(interval_ms.clone());
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+// Guards against requests, no two alike, with a prompt part that crashes endpoint after endpoint,
+// through any entry: the evidence was kept for whole requests only.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_crashing_part_stops_reaching_endpoints(
+    #[values(1, 2)] seed: u64,
+    #[values(6, 90)] entries: usize,
+    #[values(100..200, 300..700, 1000..3000)] interval_ms: Range<u64>,
+) {
+    let system = System::start(entries, seed);
+    run_with_bad_part(&system, seed, interval_ms).await;
+    let late = system.late_bad_sends();
+    assert!(late <= 3, "{late} late sends, seed {seed}");
+    let start = system.crashes.lock()[4] + CONTACT_TIME * 2;
+    let (refused, sound) = system.sound_refused(start);
+    assert!(sound > 100, "{sound} sound requests");
+    assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
+}
+
+// Guards against a part whose crashes come all at once, which is not told from a failure of many
+// endpoints until the next crash.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_crashes_at_one_moment_count_at_the_next_crash(
+    #[values(1, 2)] seed: u64,
+    #[values(6, 90)] entries: usize,
+) {
+    let system = System::start(entries, seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for id in 0..5 {
+        system.send_bad(id, &mut rng);
+    }
+    tokio::time::sleep(CONTACT_TIME + Duration::from_secs(1)).await;
+    run_with_bad_part(&system, seed, 400..800).await;
+    let late = system.late_bad_sends();
+    assert!(late <= 3, "{late} late sends, seed {seed}");
+}
+
+// Guards against sound parts that are blamed for failures of many endpoints, or of all of an entry's
+// connections, at one moment.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_mass_failures_are_blamed_on_no_part(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(true, false)] endpoints_crash: bool,
+) {
+    let system = System::start(6, seed);
+    let end = Instant::now() + Duration::from_secs(40);
+    tokio::spawn(Arc::clone(&system).send_sound(end, SmallRng::seed_from_u64(seed)));
+    for round in 0..4 {
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        if endpoints_crash {
+            let ids: Vec<String> = system.processes.lock().keys().cloned().collect();
+            ids.iter()
+                .take(ENDPOINTS / 2)
+                .for_each(|id| system.crash(id));
+        } else {
+            let client = &system.clients[round % system.clients.len()];
+            client.resets.send_modify(|count| *count += 1);
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let (refused, sound) = system.sound_refused(end - Duration::from_secs(40));
+    assert!(sound > 500, "{sound} sound requests");
+    assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
+}
