part_crash: requests with a prompt part that crashes endpoints are refused

Cause: the evidence that a request crashes endpoints was kept under the hash of the whole request, although the cause is a part of its prompt that other requests share. Each crash was the first of its request. The class: evidence gathered under a key narrower than its cause.

Now it is kept by prompt part (all but the last, which belongs to the session): endpoint processes whose connection broke under requests with the part, against requests with the part that completed. A part is blamed for three crashes that are not all at one moment and that completed requests do not outweigh, one for three. Sound parts share requests and endpoints with the bad one and fail with it; but theirs are a subset of its crashes, so the part with the most crashes is found first and explains those of the others. Parts with exactly the same crashes are blamed only together: a request that holds some of them tells them apart. Time limits of the entry, unusable responses and endpoints that are leaving count for nothing.

Crashes spread by gossip as a set that only grows; each entry passes on all that it knows, at once when a part becomes suspected, and for half of the time that they count. Entries of the release before ignore the new field, and their states lack it. The check is made before each send: on admission, after the wait for a slot, before a retry and before a stream is resumed.

The test of old gossip covers the missing field only.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::EndpointClient;
 use crate::EndpointKey;
 use crate::EndpointNotice;
+use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
@@ -58,6 +59,9 @@
 /// Retry-After when no endpoint is left to try or [`MAX_TRIED_ENDPOINTS`] is reached.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Retry-After of a request that crashes endpoints.
+pub(crate) const CRASH_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Minimum Retry-After when all endpoints are full, and Retry-After when an endpoint rejected the
 /// request and no further retry is allowed.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -152,6 +156,9 @@
             if self.request.deadline.saturating_duration_since(now) < MIN_SEND_TIME {
                 return Err(self.final_refusal(RefusalKind::Expired, None));
             }
+            if node.is_crashing(self.request.fingerprint, &self.request.call) {
+                return Err(self.final_refusal(RefusalKind::Crashing, Some(CRASH_RETRY_AFTER)));
+            }
             let freed = node.slot_freed.notified();
             match self.reserve_by_rollout(node, now) {
                 Ok(reservation) => {
@@ -297,6 +304,7 @@
             endpoint.load.record_prompt(prompt, now);
         }
         let id = endpoint.record.id.clone();
+        let process = EndpointProcess::new(&id, endpoint.record.incarnation);
         let address = endpoint.record.address;
         let version = endpoint.record.version.clone();
         drop(endpoints);
@@ -309,6 +317,7 @@
             node: Arc::clone(node),
             key,
             endpoint: id,
+            process,
             address,
             occupancy,
             service: self.service.clone(),
@@ -393,7 +402,7 @@
         let now = Instant::now();
         let left = self.request.deadline.saturating_duration_since(now);
         let allowed = self.sends < self.request.route.attempts && left > MIN_SEND_TIME * 2;
-        if !allowed || node.crashes.lock().is_crashing(self.request.fingerprint) {
+        if !allowed || node.is_crashing(self.request.fingerprint, &self.request.call) {
             return false;
         }
         let entries = node.entry_count();
@@ -405,6 +414,15 @@
         self.kind().is_retryable() && self.sends < self.request.route.attempts
     }
 
+    /// Records that an endpoint ran the request to its end.
+    pub(crate) fn record_completed(&self, node: &Node) {
+        let now = Instant::now();
+        let mut tracker = node.part_crashes.lock();
+        for part in self.request.call.shared_parts() {
+            tracker.record_completed(part, now);
+        }
+    }
+
     /// Records that an endpoint failed after it may have run the request.
     pub(crate) fn record_stream_failure(
         &self,
@@ -519,14 +537,34 @@
         } => reservation.mark_draining(),
         SendFailure::Rejected { .. } => reservation.record_failure_in_load(),
         SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
-        SendFailure::MayHaveRun(_) => {
+        SendFailure::MayHaveRun(interruption) => {
             reservation.record_interrupted(now);
             let mut crashes = node.crashes.lock();
             crashes.record_crash(request.fingerprint, &reservation.endpoint, now);
+            drop(crashes);
+            if matches!(interruption, Interruption::ConnectionBroken(_))
+                && reservation.is_endpoint_serving(now)
+            {
+                record_part_crashes(node, &request.call, reservation, now);
+            }
         }
     }
 }
 
+/// Records a crash of the endpoint under each part of the request that others may hold too.
+fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
+    let mut tracker = node.part_crashes.lock();
+    let mut is_urgent = false;
+    for part in call.shared_parts() {
+        is_urgent |= tracker.record_crash(part, reservation.process, now);
+    }
+    drop(tracker);
+    if is_urgent {
+        node.gossip_now.notify_one();
+    }
+    node.announce_crashing_parts(None);
+}
+
 /// Returns what an endpoint that responded said of its availability.
 fn notice_of<B>(sent: &Result<EndpointResponse<B>, SendFailure>) -> Option<EndpointNotice> {
     match sent {
--- a/entry/src/call.rs
+++ b/entry/src/call.rs
@@ -35,6 +35,12 @@
 }
 
 impl Prompt {
+    /// Returns the parts that other prompts may hold too: all but the last.
+    pub(crate) fn shared_parts(&self) -> Vec<PartId> {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(count).map(|p| p.id).collect()
+    }
+
     /// Returns the ids of all parts as text, for logs.
     pub(crate) fn part_list(&self) -> String {
         let ids: Vec<String> = self.parts.iter().map(|p| p.id.to_string()).collect();
@@ -80,6 +86,14 @@
         self.target.split('?').next().unwrap_or(&self.target)
     }
 
+    /// Returns the parts of the prompt that other requests may hold too.
+    pub(crate) fn shared_parts(&self) -> Vec<PartId> {
+        self.prompt
+            .as_ref()
+            .map(Prompt::shared_parts)
+            .unwrap_or_default()
+    }
+
     /// Returns how long the caller waits for the response on a route.
     pub(crate) fn timeout_on(&self, route: &Route) -> Duration {
         self.timeout.unwrap_or(route.timeout).min(route.timeout)
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -159,6 +159,12 @@
         }
     }
     drop(crashes);
+    if !state.part_crashes.is_empty() {
+        let mut parts = node.part_crashes.lock();
+        parts.merge(&name, &state.part_crashes, updated_at, now);
+        drop(parts);
+        node.announce_crashing_parts(Some(&name));
+    }
     let mut rollouts = node.rollouts.lock();
     for rollout in &state.rollouts {
         if rollouts.merge(rollout) {
--- a/entry/src/ids.rs
+++ b/entry/src/ids.rs
@@ -95,7 +95,8 @@
 }
 
 /// Id of a prompt part that several prompts may share.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
 pub struct PartId(pub u64);
 
 impl fmt::Display for PartId {
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -14,6 +14,7 @@
 use crate::EntryName;
 use crate::Fingerprint;
 use crate::LeaseView;
+use crate::PartReport;
 use crate::QuotaTotals;
 use crate::RemovedEndpoint;
 use crate::Rollout;
@@ -105,6 +106,9 @@
     pub usage: Usage,
     /// Requests that crashed endpoints, with the endpoint that crashed.
     pub crashes: Vec<(Fingerprint, EndpointId)>,
+    /// Evidence on prompt parts that crash endpoints.
+    #[serde(default)]
+    pub part_crashes: Vec<PartReport>,
     /// Newest rollout of each service.
     pub rollouts: Vec<Rollout>,
     /// Evidence on the versions of open rollouts, by service.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -26,11 +26,13 @@
 use crate::EntryName;
 use crate::EntryState;
 use crate::ExposureBounds;
+use crate::Fingerprint;
 use crate::LeaseState;
 use crate::ListCursor;
 use crate::MedianClock;
 use crate::Members;
 use crate::Metrics;
+use crate::PartCrashTracker;
 use crate::PeerClient;
 use crate::QuotaLedger;
 use crate::RetryBounds;
@@ -106,6 +108,8 @@
     pub rollouts: Mutex<Rollouts>,
     /// Requests that have crashed endpoints.
     pub crashes: Mutex<CrashTracker>,
+    /// Prompt parts that crash endpoints.
+    pub part_crashes: Mutex<PartCrashTracker>,
     /// Requests of this entry that endpoints responded to, by usage window and customer.
     pub usage: Mutex<Usage>,
     /// Estimators of request durations by service.
@@ -154,6 +158,7 @@
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
             crashes: Mutex::default(),
+            part_crashes: Mutex::default(),
             usage: Mutex::default(),
             durations: Mutex::default(),
             prefilled: Mutex::default(),
@@ -313,6 +318,26 @@
         bounds.max().unwrap_or_default()
     }
 
+    /// Returns whether a request, by its fingerprint or by a part of its prompt, is expected to crash
+    /// the endpoint that runs it.
+    pub(crate) fn is_crashing(&self, fingerprint: Fingerprint, call: &Call) -> bool {
+        let parts = call.shared_parts();
+        self.crashes.lock().is_crashing(fingerprint)
+            || self.part_crashes.lock().is_crashing(&parts, Instant::now())
+    }
+
+    /// Logs prompt parts that have become suspected of crashing endpoints, and tells peers at once.
+    pub(crate) fn announce_crashing_parts(&self, peer: Option<&EntryName>) {
+        let parts = self.part_crashes.lock().take_new_culprits(Instant::now());
+        for part in &parts {
+            let peer = peer.map(EntryName::as_str);
+            tracing::info!(event = "part_crashing", %part, peer);
+        }
+        if !parts.is_empty() {
+            self.gossip_now.notify_one();
+        }
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::Relaxed)
@@ -380,6 +405,7 @@
                 .crashes
                 .lock()
                 .recent_crashes(MAX_SHARED_CRASHES, Instant::now()),
+            part_crashes: self.part_crashes.lock().reports(Instant::now()),
             rollouts,
             evidence,
             draining_starts: draining.iter().map(|(_, start)| *start).collect(),
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -152,6 +152,7 @@
                 }
                 ReadOutcome::End => {
                     source.reservation.record_success(Instant::now());
+                    self.attempts.record_completed(&self.node);
                     self.source = None;
                     return Ok(None);
                 }
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -8,6 +8,7 @@
 use crate::EndpointId;
 use crate::EndpointKey;
 use crate::EndpointNotice;
+use crate::EndpointProcess;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
@@ -20,6 +21,7 @@
     pub(crate) node: Arc<Node>,
     pub(crate) key: EndpointKey,
     pub(crate) endpoint: EndpointId,
+    pub(crate) process: EndpointProcess,
     pub(crate) address: SocketAddr,
     pub(crate) occupancy: Occupancy,
     pub(crate) service: ServiceName,
@@ -68,6 +70,13 @@
         self.update_evidence(|outcomes| outcomes.failed += 1);
     }
 
+    /// Returns whether the endpoint is still expected to serve requests.
+    pub(crate) fn is_endpoint_serving(&self, now: Instant) -> bool {
+        let endpoints = self.node.endpoints.lock();
+        let endpoint = endpoints.get(self.key);
+        endpoint.is_some_and(|e| e.accepts_requests(now))
+    }
+
     fn update_evidence(&self, update: impl FnOnce(&mut Outcomes)) {
         let Some(side) = self.side else {
             return;
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::Route;
 use crate::attempt::AdmittedRequest;
 use crate::attempt::Attempts;
+use crate::attempt::CRASH_RETRY_AFTER;
 use crate::log_limit;
 use crate::quota_owner;
 use crate::reservation::Reservation;
@@ -30,9 +31,6 @@
 /// Retry-After while no configuration or endpoint list is known.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Retry-After of a request that crashes endpoints.
-const CRASH_RETRY_AFTER: Duration = Duration::from_mins(1);
-
 /// Retry-After during shutdown; callers retry at another entry.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -99,7 +97,7 @@
         ));
     }
     let fingerprint = call.fingerprint(customer.map(|c| &c.name));
-    if node.crashes.lock().is_crashing(fingerprint) {
+    if node.is_crashing(fingerprint, call) {
         return Err(Refusal::with_retry_after(
             RefusalKind::Crashing,
             CRASH_RETRY_AFTER,
@@ -259,6 +257,9 @@
         ResponseBody::Whole(body) => {
             if status < 500 {
                 reservation.record_success(Instant::now());
+                if (200..300).contains(&status) {
+                    attempts.record_completed(node);
+                }
             } else {
                 reservation.record_failed_response();
             }
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -14,13 +14,18 @@
 use hawthornrack_entry::Dispatch;
 use hawthornrack_entry::EndpointClient;
 use hawthornrack_entry::EndpointNotice;
+use hawthornrack_entry::EndpointProcess;
 use hawthornrack_entry::EndpointRecord;
 use hawthornrack_entry::EndpointResponse;
+use hawthornrack_entry::EntryName;
+use hawthornrack_entry::EntryState;
 use hawthornrack_entry::GossipRequest;
 use hawthornrack_entry::Interruption;
 use hawthornrack_entry::Metrics;
 use hawthornrack_entry::Node;
+use hawthornrack_entry::PartCrashTracker;
 use hawthornrack_entry::PartId;
+use hawthornrack_entry::PartReport;
 use hawthornrack_entry::Prompt;
 use hawthornrack_entry::PromptPart;
 use hawthornrack_entry::RefusalKind;
@@ -40,6 +45,8 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use testutils::ScriptedBody;
+use testutils::ScriptedClient;
+use testutils::ScriptedSend;
 use testutils::call;
 use testutils::config;
 use testutils::endpoint;
@@ -284,15 +291,18 @@
         self.send(entry, request(1_000_000 + id, &parts));
     }
 
+    /// Returns the time of the fifth crash, or of the last if there are fewer.
+    fn fifth_crash(&self) -> Instant {
+        let crashes = self.crashes.lock();
+        *crashes.get(4).or(crashes.last()).expect("no crash")
+    }
+
     /// Returns how many requests with the bad part were sent later than [`CONTACT_TIME`] after the
     /// fifth crash.
     fn late_bad_sends(&self) -> usize {
-        let fifth = self.crashes.lock()[4];
+        let start = self.fifth_crash() + CONTACT_TIME;
         let sends = self.bad_sends.lock();
-        sends
-            .iter()
-            .filter(|at| **at > fifth + CONTACT_TIME)
-            .count()
+        sends.iter().filter(|at| **at > start).count()
     }
 
     /// Returns how many sound requests were refused for crashes, and how many there were, from
@@ -387,7 +397,7 @@
     run_with_bad_part(&system, seed, interval_ms).await;
     let late = system.late_bad_sends();
     assert!(late <= 3, "{late} late sends, seed {seed}");
-    let start = system.crashes.lock()[4] + CONTACT_TIME * 2;
+    let start = system.fifth_crash() + CONTACT_TIME * 2;
     let (refused, sound) = system.sound_refused(start);
     assert!(sound > 100, "{sound} sound requests");
     assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
@@ -424,7 +434,9 @@
     let end = Instant::now() + Duration::from_secs(40);
     tokio::spawn(Arc::clone(&system).send_sound(end, SmallRng::seed_from_u64(seed)));
     for round in 0..4 {
-        tokio::time::sleep(Duration::from_secs(8)).await;
+        // The first failure comes before any request has completed.
+        let pause = if round == 0 { 1 } else { 8 };
+        tokio::time::sleep(Duration::from_secs(pause)).await;
         if endpoints_crash {
             let ids: Vec<String> = system.processes.lock().keys().cloned().collect();
             ids.iter()
@@ -440,3 +452,114 @@
     assert!(sound > 500, "{sound} sound requests");
     assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
 }
+
+/// Tells a node, as a peer, of processes that crashed under the bad part a second apart.
+fn learn_crashes(node: &Node, count: u64) {
+    let crashes = (1..=count).map(|number| (EndpointProcess(number), number * 1000));
+    let mut own = new_node(9, &[]).own_state();
+    own.part_crashes = vec![PartReport {
+        part: BAD,
+        crashes: crashes.collect(),
+        completed: 0,
+    }];
+    let request = GossipRequest {
+        own,
+        digest: IndexMap::new(),
+        has_endpoints: true,
+    };
+    handle_exchange(node, request);
+}
+
+// Guards against a request that is sent after its part was found to crash endpoints, because it was
+// admitted before and waited for a slot.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_request_that_waits_for_a_slot_is_not_sent() {
+    let node = new_node(0, &[endpoint("e0")]);
+    let client = ScriptedClient::new(vec![ScriptedSend::Hang; 13]);
+    let mut running: Vec<_> = (0..12)
+        .map(|id| {
+            let (node, client) = (Arc::clone(&node), Arc::clone(&client));
+            let call = request(id, &[FIRST]);
+            tokio::spawn(async move { serve(&node, &client, call).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let waiting = serve(&node, &client, request(9, &[FIRST, BAD]));
+    let (response, ()) = tokio::join!(waiting, async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        learn_crashes(&node, 3);
+        running.pop().unwrap().abort();
+    });
+    assert!(
+        matches!(&response, CallerResponse::Refused(r)
+            if r.kind == RefusalKind::Crashing && r.retry_after.is_some()),
+        "{response:?}"
+    );
+    assert_eq!(client.seen.lock().len(), 12);
+}
+
+// Guards against a stream with a crashing part that is resumed at one endpoint after the other.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_stream_is_not_resumed() {
+    let node = new_node(0, &[endpoint("e0"), endpoint("e1")]);
+    let mut config = system_config();
+    config.version += 1;
+    config.routes[0][0].kind = RouteKind::ResumableStream;
+    node.apply_config(config, "test");
+    learn_crashes(&node, 2);
+    let broken = ScriptedSend::Stream(vec!["id: 1\ndata: a\n\n"], Err("reset"));
+    let client = ScriptedClient::new([broken]);
+    let response = serve(&node, &client, request(1, &[FIRST, BAD])).await;
+    let CallerResponse::Stream { mut events, .. } = response else {
+        panic!("no stream: {response:?}");
+    };
+    assert!(events.next().await.unwrap().is_some());
+    assert!(events.next().await.is_err());
+    assert_eq!(client.seen.lock().len(), 1);
+}
+
+// Guards against a part that is refused for good after crashes long ago, because entries tell each
+// other of them again and again.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_reports_of_known_crashes_do_not_keep_them() {
+    let mut trackers = [PartCrashTracker::default(), PartCrashTracker::default()];
+    for process in 0..3 {
+        trackers[0].record_crash(BAD, EndpointProcess(process), Instant::now());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    for round in 0..400 {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let reports = trackers[from].reports(Instant::now());
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let name = EntryName::from(format!("entry-{from}").as_str());
+            // The report took 500 ms, which the receiver does not know.
+            let now = Instant::now();
+            trackers[to].merge(&name, &reports, now, now);
+        }
+        let now = Instant::now();
+        let crashing = trackers.each_ref().map(|t| t.is_crashing(&[BAD], now));
+        if round < 200 {
+            assert_eq!(crashing, [true; 2], "round {round}");
+        }
+        if round > 300 {
+            assert_eq!(crashing, [false; 2], "round {round}");
+        }
+    }
+}
+
+// Guards against entries of the release before that do not understand the state of this one, and the
+// other way round.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_state_without_reports_is_understood() {
+    let node = new_node(0, &[]);
+    let mut state = serde_json::to_value(node.own_state()).unwrap();
+    assert!(
+        state
+            .as_object_mut()
+            .unwrap()
+            .remove("part_crashes")
+            .is_some()
+    );
+    let state: EntryState = serde_json::from_value(state).unwrap();
+    assert_eq!(state.part_crashes, []);
+}
