crash: an endpoint that is back under its id counts again

A request that crashes every endpoint was never refused in a service whose endpoints come back under their ids: with one or two endpoints it ran again after every restart, for good.

Cause: the evidence names an endpoint by its id only, so that each of its processes after the first was taken for a repeated report. Now it names the incarnation too, as the evidence on prompt parts does. Entries exchange it in a new field beside the old one; a report without it, from an entry of the release before, counts only if no crash of that endpoint under the request is known.

test_serve_refuses_request_that_crashed_one_endpoint_three_times failed before ("more sends than scripted outcomes": a fourth send) and passes. The calls in test_budgets name an incarnation now; their bounds are unchanged.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -304,7 +304,7 @@
             endpoint.load.record_prompt(prompt, now);
         }
         let id = endpoint.record.id.clone();
-        let process = EndpointProcess::new(&id, endpoint.record.incarnation);
+        let incarnation = endpoint.record.incarnation;
         let address = endpoint.record.address;
         let version = endpoint.record.version.clone();
         drop(endpoints);
@@ -317,7 +317,7 @@
             node: Arc::clone(node),
             key,
             endpoint: id,
-            process,
+            incarnation,
             address,
             occupancy,
             service: self.service.clone(),
@@ -540,7 +540,8 @@
         SendFailure::MayHaveRun(interruption) => {
             reservation.record_interrupted(now);
             let mut crashes = node.crashes.lock();
-            crashes.record_crash(request.fingerprint, &reservation.endpoint, now);
+            let incarnation = reservation.incarnation;
+            crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
             drop(crashes);
             if matches!(interruption, Interruption::ConnectionBroken(_))
                 && reservation.is_endpoint_serving(now)
@@ -553,10 +554,11 @@
 
 /// Records a crash of the endpoint under each part of the request that others may hold too.
 fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
+    let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
     let mut tracker = node.part_crashes.lock();
     let mut is_urgent = false;
     for part in call.shared_parts() {
-        is_urgent |= tracker.record_crash(part, reservation.process, now);
+        is_urgent |= tracker.record_crash(part, process, now);
     }
     drop(tracker);
     if is_urgent {
--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -8,7 +8,7 @@
 use crate::EndpointId;
 use crate::Fingerprint;
 
-/// Number of different endpoints that a request must have crashed to be refused.
+/// Number of endpoint processes that a request must have crashed to be refused.
 const CRASH_THRESHOLD: usize = 3;
 
 /// Time after a request's last new crash for which its crashes are kept; older ones are
@@ -20,11 +20,18 @@
 
 #[derive(Debug)]
 struct RequestCrashes {
-    /// Endpoints, each with the process that saw it fail.
-    endpoints: Vec<(EndpointId, Source)>,
+    endpoints: Vec<EndpointCrash>,
     last_crash: Instant,
 }
 
+#[derive(Debug)]
+struct EndpointCrash {
+    endpoint: EndpointId,
+    /// Incarnation of the endpoint; `None` if a peer did not report it.
+    incarnation: Option<u64>,
+    source: Source,
+}
+
 /// Who saw an endpoint fail.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Source {
@@ -46,9 +53,10 @@
         &mut self,
         request: Fingerprint,
         endpoint: &EndpointId,
+        incarnation: u64,
         now: Instant,
     ) -> bool {
-        self.record(request, endpoint, Source::Own, now)
+        self.record(request, endpoint, Some(incarnation), Source::Own, now)
     }
 
     /// Records that a peer saw an endpoint fail while it ran the request.
@@ -59,15 +67,17 @@
         &mut self,
         request: Fingerprint,
         endpoint: &EndpointId,
+        incarnation: Option<u64>,
         now: Instant,
     ) -> bool {
-        self.record(request, endpoint, Source::Peer, now)
+        self.record(request, endpoint, incarnation, Source::Peer, now)
     }
 
     fn record(
         &mut self,
         request: Fingerprint,
         endpoint: &EndpointId,
+        incarnation: Option<u64>,
         source: Source,
         now: Instant,
     ) -> bool {
@@ -83,11 +93,18 @@
                 endpoints: Vec::new(),
                 last_crash: now,
             });
-        if crashes.endpoints.iter().any(|(known, _)| known == endpoint) {
+        let is_same_incarnation =
+            |known: Option<u64>| known.is_none() || incarnation.is_none() || known == incarnation;
+        let mut known = crashes.endpoints.iter();
+        if known.any(|c| c.endpoint == *endpoint && is_same_incarnation(c.incarnation)) {
             return false;
         }
         crashes.last_crash = now;
-        crashes.endpoints.push((endpoint.clone(), source));
+        crashes.endpoints.push(EndpointCrash {
+            endpoint: endpoint.clone(),
+            incarnation,
+            source,
+        });
         true
     }
 
@@ -98,20 +115,21 @@
     }
 
     /// Returns the crashes that this entry saw itself of the `max_requests` requests recorded last, to
-    /// be sent to peers; the request recorded first comes first.
+    /// be sent to peers, each with the endpoint and its incarnation; the request recorded first comes
+    /// first.
     pub fn recent_crashes(
         &self,
         max_requests: usize,
         now: Instant,
-    ) -> Vec<(Fingerprint, EndpointId)> {
+    ) -> Vec<(Fingerprint, EndpointId, u64)> {
         let skip_count = self.requests.len().saturating_sub(max_requests);
         let requests = self.requests.iter().skip(skip_count);
         let is_kept = |c: &RequestCrashes| now.duration_since(c.last_crash) < CRASH_RETENTION;
         requests
             .filter(|(_, c)| is_kept(c))
             .flat_map(|(f, c)| c.endpoints.iter().map(move |crash| (f, crash)))
-            .filter(|(_, (_, source))| *source == Source::Own)
-            .map(|(f, (endpoint, _))| (*f, endpoint.clone()))
+            .filter(|(_, crash)| crash.source == Source::Own)
+            .map(|(f, crash)| (*f, crash.endpoint.clone(), crash.incarnation.unwrap_or(0)))
             .collect()
     }
 }
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -153,8 +153,9 @@
         node.lease.lock().record_peer(view, BootTime::now());
     }
     let mut crashes = node.crashes.lock();
-    for (request, endpoint) in &state.crashes {
-        if crashes.record_peer_crash(*request, endpoint, now) && log_limit::allows("crash_learnt") {
+    for (request, endpoint, incarnation) in state.crashes() {
+        let is_new = crashes.record_peer_crash(request, endpoint, incarnation, now);
+        if is_new && log_limit::allows("crash_learnt") {
             tracing::info!(event = "crash_learnt", request = request.0, %endpoint, peer = %name);
         }
     }
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -106,6 +106,10 @@
     pub usage: Usage,
     /// Requests that crashed endpoints, with the endpoint that crashed.
     pub crashes: Vec<(Fingerprint, EndpointId)>,
+    /// Start of the incarnation of each endpoint in `crashes`, in milliseconds since the Unix epoch;
+    /// empty if the entry does not report it.
+    #[serde(default, rename = "crashes_born")]
+    pub crash_starts: Vec<u64>,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default)]
     pub part_crashes: Vec<PartReport>,
@@ -134,6 +138,16 @@
             .zip(starts.chain(std::iter::repeat(None)))
     }
 
+    /// Returns the requests that crashed endpoints, each with the endpoint and the start of its
+    /// incarnation if known.
+    pub fn crashes(&self) -> impl Iterator<Item = (Fingerprint, &EndpointId, Option<u64>)> {
+        let starts = self.crash_starts.iter().copied().map(Some);
+        self.crashes
+            .iter()
+            .zip(starts.chain(std::iter::repeat(None)))
+            .map(|((request, endpoint), start)| (*request, endpoint, start))
+    }
+
     /// Returns what the entry has charged to each customer since its start.
     pub fn quota_totals(&self) -> IndexMap<CustomerName, QuotaTotals> {
         let totals = self.admitted.iter().map(|(customer, admitted)| {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -378,6 +378,8 @@
         let loads = self.endpoint_loads();
         let draining = self.draining_endpoints();
         let (rollouts, evidence) = self.rollout_state();
+        let now = Instant::now();
+        let crashes = self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES, now);
         let charged = self.quotas.lock().own_totals();
         let refunded = charged.iter().filter(|(_, t)| t.refunded > 0.0);
         let refunded = refunded.map(|(c, t)| (c.clone(), t.refunded));
@@ -401,10 +403,8 @@
             refunded: refunded.collect(),
             prefilled: self.prefilled.lock().clone(),
             usage: self.usage.lock().newest(self.shared_window_count()),
-            crashes: self
-                .crashes
-                .lock()
-                .recent_crashes(MAX_SHARED_CRASHES, Instant::now()),
+            crash_starts: crashes.iter().map(|(_, _, start)| *start).collect(),
+            crashes: crashes.into_iter().map(|(f, id, _)| (f, id)).collect(),
             part_crashes: self.part_crashes.lock().reports(Instant::now()),
             rollouts,
             evidence,
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -8,7 +8,6 @@
 use crate::EndpointId;
 use crate::EndpointKey;
 use crate::EndpointNotice;
-use crate::EndpointProcess;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
@@ -21,7 +20,7 @@
     pub(crate) node: Arc<Node>,
     pub(crate) key: EndpointKey,
     pub(crate) endpoint: EndpointId,
-    pub(crate) process: EndpointProcess,
+    pub(crate) incarnation: u64,
     pub(crate) address: SocketAddr,
     pub(crate) occupancy: Occupancy,
     pub(crate) service: ServiceName,
--- a/entry/tests/test_budgets.rs
+++ b/entry/tests/test_budgets.rs
@@ -69,7 +69,7 @@
     let mut tracker = CrashTracker::default();
     let request = Fingerprint(7);
     for (endpoint, crashing) in [("a", false), ("a", false), ("b", false), ("c", true)] {
-        tracker.record_crash(request, &EndpointId::from(endpoint), Instant::now());
+        tracker.record_crash(request, &EndpointId::from(endpoint), 1, Instant::now());
         assert_eq!(tracker.is_crashing(request), crashing, "after {endpoint}");
     }
     assert!(!tracker.is_crashing(Fingerprint(8)));
@@ -84,21 +84,37 @@
     let mut own = CrashTracker::default();
     let mut peer = CrashTracker::default();
     for endpoint in ["a", "b", "c"] {
-        own.record_crash(request, &EndpointId::from(endpoint), Instant::now());
+        own.record_crash(request, &EndpointId::from(endpoint), 1, Instant::now());
     }
     for _ in 0..100 {
-        for (fingerprint, endpoint) in own.recent_crashes(8, Instant::now()) {
-            peer.record_peer_crash(fingerprint, &endpoint, Instant::now());
+        for (fingerprint, endpoint, incarnation) in own.recent_crashes(8, Instant::now()) {
+            peer.record_peer_crash(fingerprint, &endpoint, Some(incarnation), Instant::now());
         }
-        for (fingerprint, endpoint) in peer.recent_crashes(8, Instant::now()) {
-            own.record_peer_crash(fingerprint, &endpoint, Instant::now());
+        for (fingerprint, endpoint, incarnation) in peer.recent_crashes(8, Instant::now()) {
+            own.record_peer_crash(fingerprint, &endpoint, Some(incarnation), Instant::now());
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
     }
     // Crashes of another request show that the old ones are discarded.
     let other = Fingerprint(8);
-    own.record_crash(other, &EndpointId::from("a"), Instant::now());
-    peer.record_crash(other, &EndpointId::from("a"), Instant::now());
+    own.record_crash(other, &EndpointId::from("a"), 1, Instant::now());
+    peer.record_crash(other, &EndpointId::from("a"), 1, Instant::now());
     assert!(!own.is_crashing(request));
     assert!(!peer.is_crashing(request));
 }
+
+// An endpoint that a request crashes again after it is back under its id counts again; reports of a
+// peer that names no incarnation, of the release before, do not count what is known twice.
+#[tokio::test(start_paused = true)]
+async fn test_budgets_crashes_are_counted_by_incarnation() {
+    let mut tracker = CrashTracker::default();
+    let request = Fingerprint(7);
+    let endpoint = EndpointId::from("a");
+    assert!(tracker.record_crash(request, &endpoint, 1, Instant::now()));
+    assert!(!tracker.record_crash(request, &endpoint, 1, Instant::now()));
+    assert!(!tracker.record_peer_crash(request, &endpoint, None, Instant::now()));
+    assert!(tracker.record_peer_crash(request, &endpoint, Some(2), Instant::now()));
+    assert!(!tracker.is_crashing(request));
+    assert!(tracker.record_crash(request, &endpoint, 3, Instant::now()));
+    assert!(tracker.is_crashing(request));
+}
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -8,6 +8,7 @@
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Config;
 use hawthornrack_entry::EndpointNotice;
+use hawthornrack_entry::EndpointRecord;
 use hawthornrack_entry::Interruption;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Refusal;
@@ -21,6 +22,7 @@
 use testutils::ScriptedSend;
 use testutils::call;
 use testutils::config;
+use testutils::endpoint;
 use testutils::node;
 use tokio::time::Instant;
 
@@ -200,6 +202,25 @@
     assert!(refusal.retry_after.is_some());
 }
 
+// Guards against a request that crashes the only endpoint of a service again and again: one that was
+// back under its id counted once.
+#[tokio::test(start_paused = true)]
+async fn test_serve_refuses_request_that_crashed_one_endpoint_three_times() {
+    let node = node(config(RouteKind::Once), 1);
+    let client = ScriptedClient::new([may_have_run(), may_have_run(), may_have_run()]);
+    for incarnation in 2..5 {
+        assert_eq!(response_status(&node, &client).await, 502);
+        let restarted = EndpointRecord {
+            incarnation,
+            ..endpoint("e0")
+        };
+        node.endpoints.lock().apply(restarted, Instant::now());
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+    let refusal = expect_refusal(&node, &client).await;
+    assert_eq!(refusal.kind, RefusalKind::Crashing);
+}
+
 // A stream that breaks within an event must resume after the last complete event, without losing
 // or repeating an event.
 #[tokio::test(start_paused = true)]
