--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -15,9 +15,11 @@
 use crate::EndpointClient;
 use crate::EndpointKey;
 use crate::EndpointNotice;
+use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
+use crate::Interruption;
 use crate::Node;
 use crate::Occupancy;
 use crate::PlacementRequest;
@@ -58,6 +60,9 @@
 /// Retry-After when no endpoint is left to try or [`MAX_TRIED_ENDPOINTS`] is reached.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Retry-After of a request that crashes endpoints.
+pub(crate) const CRASH_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Minimum Retry-After when all endpoints are full, and Retry-After when an endpoint rejected the
 /// request and no further retry is allowed.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -152,6 +157,9 @@
             if self.request.deadline.saturating_duration_since(now) < MIN_SEND_TIME {
                 return Err(self.final_refusal(RefusalKind::Expired, None));
             }
+            if node.is_crashing(self.request.fingerprint, &self.request.call) {
+                return Err(self.final_refusal(RefusalKind::Crashing, Some(CRASH_RETRY_AFTER)));
+            }
             let freed = node.slot_freed.notified();
             match self.reserve_by_rollout(node, now) {
                 Ok(reservation) => {
@@ -297,6 +305,7 @@
             endpoint.load.record_prompt(prompt, now);
         }
         let id = endpoint.record.id.clone();
+        let incarnation = endpoint.record.incarnation;
         let address = endpoint.record.address;
         let version = endpoint.record.version.clone();
         drop(endpoints);
@@ -309,6 +318,7 @@
             node: Arc::clone(node),
             key,
             endpoint: id,
+            incarnation,
             address,
             occupancy,
             service: self.service.clone(),
@@ -357,10 +367,8 @@
         };
         let response = tokio::time::timeout(limit, client.send(dispatch)).await;
         let response = response.unwrap_or_else(|_elapsed| {
-            Err(SendFailure::MayHaveRun(format!(
-                "no response within {} ms",
-                limit.as_millis()
-            )))
+            let reason = format!("no response within {} ms", limit.as_millis());
+            Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
         });
         node.metrics.record_send(send_outcome(&response));
         response
@@ -397,7 +405,7 @@
         let allowed = self.sends < self.request.route.attempts && left > MIN_SEND_TIME * 2;
         if !allowed
             || !self.fits_shutdown(node)
-            || node.crashes.lock().is_crashing(self.request.fingerprint)
+            || node.is_crashing(self.request.fingerprint, &self.request.call)
         {
             return false;
         }
@@ -419,6 +427,15 @@
         self.kind().is_retryable() && self.sends < self.request.route.attempts
     }
 
+    /// Records that an endpoint ran the request to its end.
+    pub(crate) fn record_completed(&self, node: &Node) {
+        let now = Instant::now();
+        let mut tracker = node.part_crashes.lock();
+        for part in self.request.call.shared_parts() {
+            tracker.record_completed(part, now);
+        }
+    }
+
     /// Records that an endpoint failed after it may have run the request.
     pub(crate) fn record_stream_failure(
         &self,
@@ -513,6 +530,10 @@
 ) {
     let now = Instant::now();
     let request = &attempts.request;
+    let cause = match failure {
+        SendFailure::MayHaveRun(interruption) => Some(interruption.name()),
+        SendFailure::NotWritten(_) | SendFailure::Rejected { .. } => None,
+    };
     tracing::info!(
         event = "send_failed",
         id = request.call.id,
@@ -520,6 +541,8 @@
         sends = attempts.sends,
         after_ms = crate::millis(now.duration_since(reservation.started)),
         %failure,
+        cause,
+        parts = request.call.prompt.as_ref().map(crate::Prompt::part_list),
     );
     match failure {
         SendFailure::Rejected {
@@ -527,14 +550,36 @@
         } => reservation.mark_draining(),
         SendFailure::Rejected { .. } => reservation.record_failure_in_load(),
         SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
-        SendFailure::MayHaveRun(_) => {
+        SendFailure::MayHaveRun(interruption) => {
             reservation.record_interrupted(now);
             let mut crashes = node.crashes.lock();
-            crashes.record_crash(request.fingerprint, &reservation.endpoint, now);
+            let incarnation = reservation.incarnation;
+            crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
+            drop(crashes);
+            if matches!(interruption, Interruption::ConnectionBroken(_))
+                && reservation.is_endpoint_serving(now)
+            {
+                record_part_crashes(node, &request.call, reservation, now);
+            }
         }
     }
 }
 
+/// Records a crash of the endpoint under each part of the request that others may hold too.
+fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
+    let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
+    let mut tracker = node.part_crashes.lock();
+    let mut is_urgent = false;
+    for part in call.shared_parts() {
+        is_urgent |= tracker.record_crash(part, process, now);
+    }
+    drop(tracker);
+    if is_urgent {
+        node.gossip_now.notify_one();
+    }
+    node.announce_crashing_parts(None);
+}
+
 /// Returns what an endpoint that responded said of its availability.
 fn notice_of<B>(sent: &Result<EndpointResponse<B>, SendFailure>) -> Option<EndpointNotice> {
     match sent {
