--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -6,6 +6,8 @@
 //! [`CallerConnections::stop_accepting`], and `Node::ending` (requests without a response get one).
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
@@ -24,6 +26,14 @@
 /// Minimum time after [`IDLE_CLOSE_DELAY`] during which new connections are still accepted.
 const MIN_ACCEPT_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between the signal to close connections and the close, in which the runtime notices data
+/// and connections that have arrived.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
+/// Time within which a caller sends its request on a connection that it opened just before the
+/// entry stopped accepting connections.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Interval for checking whether requests are still in progress.
 const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -81,6 +91,27 @@
     pub tasks: TaskTracker,
 }
 
+impl CallerConnections {
+    /// Waits until no more connections are to be accepted than have arrived.
+    pub async fn wait_for_stop(&self) {
+        self.stop_accepting.cancelled().await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    }
+
+    /// Waits until a connection is to be closed as soon as it is idle.
+    ///
+    /// A connection without a request yet stays open longer: the request may be on its way.
+    pub async fn wait_for_close(&self, has_request: &AtomicBool) {
+        self.close_idle.cancelled().await;
+        if has_request.load(Ordering::Relaxed) {
+            tokio::time::sleep(CLOSE_DELAY).await;
+        } else {
+            self.stop_accepting.cancelled().await;
+            tokio::time::sleep(LAST_REQUEST_TIMEOUT).await;
+        }
+    }
+}
+
 /// Shuts down gracefully: waits for requests in progress until shortly before the grace period
 /// ends, then ends those that have no response yet.
 pub async fn shut_down(node: &Node, connections: &CallerConnections) {
