sse: a line may end with a CR, and line ends may be mixed

The splitter knew only LF LF and CR LF CR LF as the end of an event. A stream whose lines end with CR, or in which LF and CR LF alternate, was held back whole and then failed as if it had ended within an event: the caller got no event, and 502. The format allows all three line ends.

The splitter now follows the position in the lines byte by byte. After CR LF CR it releases the event without waiting for the LF, which may not come; the LF follows with the next bytes.

test_sse_releases_each_event_at_its_empty_line failed before in 15 of 27 cases, test_framing_stream_that_ended_after_an_event_is_complete::cr and ::lf_and_cr_lf with status 502.

--- a/entry/src/sse.rs
+++ b/entry/src/sse.rs
@@ -8,9 +8,6 @@
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Length of the longest event boundary, in bytes.
-const MAX_BOUNDARY_BYTES: usize = 4;
-
 /// Error of an event that exceeds 1 MiB.
 #[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
 #[displaydoc("an event is larger than 1 MiB")]
@@ -20,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    position: LinePosition,
     last_id: Option<u64>,
 }
 
@@ -30,16 +28,15 @@
     ///
     /// Returns [`EventTooLarge`] when the buffer exceeds 1 MiB without a complete event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
-        // The bytes before hold no event boundary, but may hold the first part of one.
-        let scan_start = self.partial.len().saturating_sub(MAX_BOUNDARY_BYTES - 1);
+        let scanned = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = complete_len(&self.partial[scan_start..]) else {
+        let Some(end) = self.position.last_boundary(bytes) else {
             if self.partial.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLarge);
             }
             return Ok(None);
         };
-        let complete = self.partial.split_to(scan_start + end).freeze();
+        let complete = self.partial.split_to(scanned + end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -59,27 +56,58 @@
     /// Discards the incomplete event in the buffer.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.position = LinePosition::default();
     }
 }
 
-/// Returns whether bytes of a stream hold an event, and not only comments or empty lines.
-pub(crate) fn has_event(bytes: &[u8]) -> bool {
-    let mut lines = bytes.split(|b| *b == b'\n' || *b == b'\r');
-    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+/// Position in the lines of an event stream; a line ends with LF, CR, or CR and LF.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum LinePosition {
+    /// At the start of a line.
+    #[default]
+    Start,
+    /// Within a line.
+    Within,
+    /// After the CR of a line that was not empty; an LF belongs to the same line end.
+    AfterCr,
+    /// After the CR of an empty line; an LF belongs to the same line end.
+    AfterEmptyCr,
 }
 
-fn complete_len(bytes: &[u8]) -> Option<usize> {
-    let after_lf = rfind(bytes, b"\n\n").map(|at| at + 2);
-    let after_crlf = rfind(bytes, b"\r\n\r\n").map(|at| at + 4);
-    after_lf.max(after_crlf)
+impl LinePosition {
+    /// Reads the next bytes; returns the end of the last empty line in them, which ends an event.
+    fn last_boundary(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut boundary = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            if self.advance(*byte) {
+                boundary = Some(index + 1);
+            }
+        }
+        boundary
+    }
+
+    /// Reads the next byte; returns whether it ends an empty line.
+    fn advance(&mut self, byte: u8) -> bool {
+        let (next, ends_empty_line) = match (*self, byte) {
+            (Self::Within | Self::AfterCr, b'\n') => (Self::Start, false),
+            (Self::Start | Self::AfterEmptyCr, b'\n') => (Self::Start, true),
+            (Self::Within, b'\r') => (Self::AfterCr, false),
+            (_, b'\r') => (Self::AfterEmptyCr, true),
+            _ => (Self::Within, false),
+        };
+        *self = next;
+        ends_empty_line
+    }
 }
 
-fn rfind(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|w| w == pattern)
+/// Returns whether bytes of a stream hold an event, and not only comments or empty lines.
+pub(crate) fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|b| *b == b'\n' || *b == b'\r');
+    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
 }
 
 fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|b| *b == b'\n');
+    let lines = events.rsplit(|b| *b == b'\n' || *b == b'\r');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let text = std::str::from_utf8(ids.next()?).ok()?;
     text.trim().parse().ok()
--- a/entry/tests/test_sse.rs
+++ b/entry/tests/test_sse.rs
@@ -21,6 +21,30 @@
     assert!(!splitter.has_partial());
 }
 
+// An event held back until the next one is late; a line may end with LF, CR, or CR and LF.
+#[rstest]
+fn test_sse_releases_each_event_at_its_empty_line(
+    #[values("\n", "\r", "\r\n")] line_end: &str,
+    #[values("\n", "\r", "\r\n")] empty_line: &str,
+    #[values(1, 2, 100)] size: usize,
+) {
+    if line_end == "\r" && empty_line == "\n" {
+        return; // CR and LF end one line, and no empty one.
+    }
+    let mut splitter = EventSplitter::default();
+    for number in 1..=3 {
+        let event = format!("id: {number}{line_end}data: x{line_end}{empty_line}");
+        let mut passed = Vec::new();
+        for chunk in event.as_bytes().chunks(size) {
+            let events = splitter.push(chunk).unwrap();
+            passed.extend_from_slice(&events.unwrap_or_default());
+        }
+        assert_eq!(passed, event.as_bytes());
+        assert_eq!(splitter.last_id(), Some(number));
+        assert!(!splitter.has_partial());
+    }
+}
+
 // If part of an event were passed on, a resumed stream would repeat it or leave it incomplete.
 #[test]
 fn test_sse_holds_back_incomplete_event() {
