sse: comments and empty lines after the last event do not break a stream

A stream that ended with a comment or with one more empty line after its last event counted as ended within an event: the endpoint was recorded as failed, the stream was resumed elsewhere or broken off, and the caller got an incomplete response although it had every event. Only lines that belong to an event, and a line without its end, now make the rest incomplete; other bytes after the last event reach the caller unchanged.

--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -152,7 +152,8 @@
                 ReadOutcome::End => {
                     source.reservation.record_success(Instant::now());
                     self.source = None;
-                    return Ok(None);
+                    let rest = self.splitter.take_rest();
+                    return Ok((!rest.is_empty()).then_some(rest));
                 }
                 ReadOutcome::Failed(reason) => self.resume(reason).await?,
             }
--- a/entry/src/sse.rs
+++ b/entry/src/sse.rs
@@ -48,15 +48,21 @@
         self.last_id
     }
 
-    /// Returns whether the buffer holds part of an event.
+    /// Returns whether the buffer holds part of an event or of a line; whole comments are neither.
     pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        let is_comment = |line: &[u8]| line.is_empty() || line.starts_with(b":");
+        self.position == LinePosition::Within || !lines(&self.partial).all(is_comment)
+    }
+
+    /// Removes and returns the bytes after the last complete event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.position = LinePosition::default();
+        self.partial.split().freeze()
     }
 
     /// Discards the incomplete event in the buffer.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
-        self.position = LinePosition::default();
+        self.take_rest();
     }
 }
 
@@ -100,15 +106,20 @@
     }
 }
 
+/// Returns the lines of a stream; there is an empty one between a CR and an LF.
+fn lines(bytes: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    bytes.split(|b| matches!(b, b'\n' | b'\r'))
+}
+
 /// Returns whether bytes of a stream hold an event, and not only comments or empty lines.
 pub(crate) fn has_event(bytes: &[u8]) -> bool {
-    let mut lines = bytes.split(|b| *b == b'\n' || *b == b'\r');
-    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+    lines(bytes).any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
 }
 
 fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|b| *b == b'\n' || *b == b'\r');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let mut ids = lines(events)
+        .rev()
+        .filter_map(|line| line.strip_prefix(b"id:"));
     let text = std::str::from_utf8(ids.next()?).ok()?;
     text.trim().parse().ok()
 }
--- a/entry/tests/test_sse.rs
+++ b/entry/tests/test_sse.rs
@@ -59,6 +59,25 @@
     assert!(!splitter.has_partial());
 }
 
+// Comments and empty lines after the last event belong to no event that is incomplete.
+#[rstest]
+#[case::nothing("", false)]
+#[case::empty_line("\n", false)]
+#[case::comment(": end\n", false)]
+#[case::comments_cr(": end\r: end\r", false)]
+#[case::part_of_comment(": en", true)]
+#[case::part_of_line("da", true)]
+#[case::lines("id: 2\ndata: b\n", true)]
+#[case::line_after_comment(": begin\r\ndata: b\r\n", true)]
+fn test_sse_tells_comments_from_incomplete_event(#[case] rest: &str, #[case] is_partial: bool) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\n").unwrap();
+    for byte in rest.as_bytes() {
+        splitter.push(&[*byte]).unwrap();
+    }
+    assert_eq!(splitter.has_partial(), is_partial);
+}
+
 // An endpoint that never ends an event must not make the buffer grow without limit.
 #[test]
 fn test_sse_rejects_unterminated_event() {
