relay: a stream that ends with its connection before its first event is broken

A server that fails after the head of a response without a length and chunks closes the connection, as it does at the end of a complete stream. The entry took that for the end of an empty stream: the caller got status 200 and a complete, empty body, the endpoint counted as sound, and neither a retry nor the record of crashes followed. Such an end now counts as a failure of the endpoint: a resumable stream goes on at another one, other callers get 502. This holds for a resumed stream too, where no event may be left: complete and broken look the same there, and only "broken" cannot mislead the caller. An empty body with a length or a last chunk stays complete.

--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -99,6 +99,10 @@
     ///
     /// Returns a description when the body ended before it was complete.
     fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, String>> + Send;
+
+    /// Returns whether the body states its end, by a length or a last chunk, rather than ending
+    /// with its connection.
+    fn states_end(&self) -> bool;
 }
 
 /// Client that sends requests to endpoints.
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -55,6 +55,23 @@
 struct Source<E: EndpointClient> {
     body: E::Body,
     reservation: Reservation,
+    has_event: bool,
+}
+
+impl<E: EndpointClient> Source<E> {
+    fn new(body: E::Body, reservation: Reservation) -> Self {
+        Self {
+            body,
+            reservation,
+            has_event: false,
+        }
+    }
+
+    /// Returns whether the end of the body may be the loss of its connection: an endpoint that
+    /// fails after the head of its response closes the connection as at the end of a stream.
+    fn may_be_cut(&self) -> bool {
+        !self.has_event && !self.body.states_end()
+    }
 }
 
 /// Outcome of reading from an endpoint's stream.
@@ -94,7 +111,7 @@
             node,
             client,
             attempts,
-            source: Some(Source { body, reservation }),
+            source: Some(Source::new(body, reservation)),
             splitter: EventSplitter::default(),
             waiting_since: None,
             first: None,
@@ -145,6 +162,7 @@
                         self.attempts.last_event = Some(id);
                     }
                     if has_event(&events) {
+                        source.has_event = true;
                         self.waiting_since = None;
                     }
                     return Ok(Some(events));
@@ -179,7 +197,7 @@
         let EndpointResponse { status, body, .. } = response;
         match body {
             ResponseBody::Stream(body) if status < 300 => {
-                self.source = Some(Source { body, reservation });
+                self.source = Some(Source::new(body, reservation));
                 Ok(())
             }
             _ => Err(StreamBroken(format!("resume failed with status {status}"))),
@@ -199,6 +217,9 @@
             Ok(Ok(None)) if splitter.has_partial() => {
                 return ReadOutcome::Failed("stream ended within an event".to_owned());
             }
+            Ok(Ok(None)) if source.may_be_cut() => {
+                return ReadOutcome::Failed("connection ended before the first event".to_owned());
+            }
             Ok(Ok(None)) => return ReadOutcome::End,
             Ok(Ok(Some(chunk))) => chunk,
         };
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -218,6 +218,25 @@
     assert_eq!(client.seen.lock()[1].last_event, Some(2));
 }
 
+// A stream without a stated end that ends before its first event may have lost its connection: its
+// endpoint may have failed right after the head of the response.
+#[rstest]
+#[case::no_bytes(vec![])]
+#[case::comment(vec![": begin\n\n"])]
+#[tokio::test(start_paused = true)]
+async fn test_serve_stream_that_ends_before_its_first_event_is_resumed(
+    #[case] chunks: Vec<&'static str>,
+) {
+    let node = node(config(RouteKind::ResumableStream), 4);
+    let client = ScriptedClient::new([
+        ScriptedSend::Unframed(chunks),
+        ScriptedSend::Unframed(vec!["id: 1\ndata: a\n\n"]),
+    ]);
+    let (text, error) = read_stream(serve(&node, &client, call("1")).await).await;
+    assert!(text.ends_with("id: 1\ndata: a\n\n"), "{text}");
+    assert_eq!(error, None);
+}
+
 // A stream that breaks and cannot be resumed must end with an error, or the caller would take a
 // truncated stream for a complete one.
 #[rstest]
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -163,6 +163,8 @@
     Notify(u16, EndpointNotice),
     /// Streams chunks, then ends cleanly or with an error.
     Stream(Vec<&'static str>, Result<(), &'static str>),
+    /// Streams chunks without a stated end, then ends with the connection.
+    Unframed(Vec<&'static str>),
     /// Streams chunks, then sends nothing more.
     Stall(Vec<&'static str>),
     /// Streams a chunk, and another one after a delay, then ends cleanly.
@@ -219,6 +221,7 @@
     /// Chunk that is sent once, after a delay.
     delayed: Option<(&'static str, Duration)>,
     ended: bool,
+    states_end: bool,
     cancelled: Arc<Mutex<usize>>,
 }
 
@@ -245,6 +248,10 @@
             None => std::future::pending().await,
         }
     }
+
+    fn states_end(&self) -> bool {
+        self.states_end
+    }
 }
 
 impl Drop for ScriptedBody {
@@ -273,6 +280,7 @@
             .lock()
             .pop_front()
             .expect("more sends than scripted outcomes");
+        let states_end = !matches!(step, ScriptedSend::Unframed(_));
         let stream = |chunks: Vec<&'static str>, end, drip, delayed| {
             ResponseBody::Stream(ScriptedBody {
                 chunks: chunks.into(),
@@ -280,6 +288,7 @@
                 drip,
                 delayed,
                 ended: false,
+                states_end,
                 cancelled: Arc::clone(&self.cancelled),
             })
         };
@@ -291,6 +300,7 @@
         let (status, body) = match step {
             ScriptedSend::Respond(status) | ScriptedSend::Notify(status, _) => (status, whole()),
             ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None, None)),
+            ScriptedSend::Unframed(chunks) => (200, stream(chunks, Some(Ok(())), None, None)),
             ScriptedSend::Stall(chunks) => (200, stream(chunks, None, None, None)),
             ScriptedSend::Drip(first, chunk, interval) => (
                 200,
