config: a huge head limit does not overflow the read buffer's size

With MaxHeaderBytes the sum overflowed: a build with overflow checks ended the task of each caller's connection with a panic. A release build wraps; by the arithmetic, it would have read heads of up to 16 KiB only (not run).

test_malformed_configuration_does_not_stop_the_entry::header_bytes failed before.

--- a/entry/src/config.rs
+++ b/entry/src/config.rs
@@ -188,7 +188,8 @@
 
     /// Returns the size of a connection's read buffer, in bytes.
     pub fn read_buffer_bytes(&self) -> usize {
-        self.header_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES
+        let head = self.header_bytes.max(MIN_BUFFER_BYTES);
+        head.saturating_add(MIN_BUFFER_BYTES)
     }
 
     /// Returns the time within which a request's body must have arrived, given the caller's
