quota: a customer with a rate and no burst gets its rate

The bucket held at most the burst, and an admission needs at least one unit in it. A customer with RatePerS set and Burst 0 or omitted was therefore refused every request, with status 429. The bucket now holds at least one unit; nothing changes for a burst of one unit or more.

--- a/entry/src/config.rs
+++ b/entry/src/config.rs
@@ -101,6 +101,14 @@
     pub unit: QuotaUnit,
 }
 
+impl Quota {
+    /// Returns the units that the customer's bucket holds; a bucket for less than one unit would
+    /// admit nothing.
+    pub(crate) fn capacity(&self) -> f64 {
+        self.burst.max(1.0)
+    }
+}
+
 /// A customer with its priority and quota.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Customer {
--- a/entry/src/quota.rs
+++ b/entry/src/quota.rs
@@ -158,7 +158,7 @@
         }
         let bucket = self.bucket(customer, quota, now);
         // A request larger than the burst is admitted from a full bucket.
-        let needed = units.min(quota.burst.max(1.0));
+        let needed = units.min(quota.capacity());
         if bucket.level >= needed {
             bucket.level -= units;
             bucket.own.admitted += units;
@@ -191,7 +191,7 @@
     ) -> Admission {
         let bucket = self.bucket(&request.customer, quota, now);
         bucket.record_peer(&request.entry, request.incarnation, request.totals, now);
-        let needed = request.units.min(quota.burst.max(1.0));
+        let needed = request.units.min(quota.capacity());
         if quota.rate > 0.0 && bucket.level < needed {
             return over_quota(needed - bucket.level, quota);
         }
@@ -212,7 +212,7 @@
     /// Returns units to the bucket that were deducted for a request that did not run.
     pub fn refund(&mut self, customer: &CustomerName, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.level = (bucket.level + units).min(bucket.quota.burst);
+            bucket.level = (bucket.level + units).min(bucket.quota.capacity());
             bucket.own.refunded += units;
         }
     }
@@ -270,7 +270,7 @@
             .entry(customer.clone())
             .or_insert_with(|| Bucket {
                 quota,
-                level: if starts_full { quota.burst } else { 0.0 },
+                level: if starts_full { quota.capacity() } else { 0.0 },
                 refilled_at: now,
                 own: QuotaTotals::default(),
                 mean_units: None,
@@ -288,7 +288,7 @@
         self.refilled_at = now;
         self.level += elapsed * quota.rate;
         self.level -= self.assume_silent(group, now);
-        self.level = self.level.min(quota.burst);
+        self.level = self.level.min(quota.capacity());
     }
 
     /// Returns the units that silent peers are assumed to have admitted since the last call.
--- a/entry/tests/test_quota.rs
+++ b/entry/tests/test_quota.rs
@@ -189,6 +189,23 @@
     );
 }
 
+// A customer with a rate and no burst must get its rate, not nothing at all.
+#[tokio::test(start_paused = true)]
+async fn test_quota_without_a_burst_admits_its_rate() {
+    let quota = Quota {
+        burst: 0.0,
+        rate: 10.0,
+        unit: QuotaUnit::Requests,
+    };
+    let customer = CustomerName::from("kanem");
+    let mut ledger = QuotaLedger::new(true);
+    let start = Instant::now();
+    let times = (0..100).map(|n| start + Duration::from_millis(n * 100));
+    let admissions = times.map(|now| ledger.admit(&customer, quota, 1.0, now));
+    let admitted = admissions.filter(|a| *a == Admission::Admitted).count();
+    assert!((99..=100).contains(&admitted), "{admitted} of 100");
+}
+
 // Guards against a peer's refund that is taken for a restart of the peer, after which all that it
 // ever admitted was deducted once more, and against a late report that undoes a newer one.
 #[tokio::test(start_paused = true)]
