placement: token counts of prompt parts do not overflow

The token counts that a request states for the parts of its prompt were summed with 32 bits. With a sum beyond that, a build with overflow checks ended the request's task with a panic, and the caller got no response. A release build wraps, so that a prefix could count as longer than the whole prompt, by the arithmetic (not run). The sum now stops at the largest number.

Shown to fail before: test_malformed_request_numbers_do_not_harm_later_requests::parts_huge and ::parts_wrap.

--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -7,6 +7,7 @@
 
 use crate::PartId;
 use crate::Prompt;
+use crate::PromptPart;
 
 /// Prompt tokens that an engine is assumed to prefill per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 45.0;
@@ -105,13 +106,8 @@
 
     /// Returns the number of tokens in the longest prefix of a prompt that is cached.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
-        let known = |part: &&crate::PromptPart| self.cached_parts.contains_key(&part.id);
-        prompt
-            .parts
-            .iter()
-            .take_while(known)
-            .map(|p| p.tokens)
-            .sum()
+        let known = |part: &&PromptPart| self.cached_parts.contains_key(&part.id);
+        sum_tokens(prompt.parts.iter().take_while(known))
     }
 
     /// Records a successful response and its latency, and ends any avoidance.
@@ -211,6 +207,12 @@
     }
 }
 
+/// Returns the number of tokens in parts of a prompt, at most `u32::MAX`.
+pub(crate) fn sum_tokens<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> u32 {
+    let tokens = parts.into_iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 /// Returns the estimated time in which an engine prefills a number of prompt tokens.
 pub fn prefill_time(tokens: u32) -> Duration {
     Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1000.0)
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -21,6 +21,7 @@
 use crate::Prompt;
 use crate::ServiceName;
 use crate::VersionFilter;
+use crate::endpoint_load::sum_tokens;
 use crate::prefill_time;
 
 /// Penalty for prefilling shared prompt parts that are not cached, as a multiple of the time that
@@ -216,7 +217,7 @@
         cost += (f64::from(load.running()) + noise) / slots * latency;
         return (cost, 0);
     };
-    let shared: u32 = prompt.parts.iter().map(|p| p.tokens).sum();
+    let shared = sum_tokens(&prompt.parts);
     let cached = if is_preferred {
         shared
     } else {
