endpoint load: the prefill backlog ends with the requests that caused it

A request's prompt counted as backlog of its endpoint until the estimated time had passed, also when the endpoint had rejected it or the request had ended. A request that states prompt tokens counted for 26 hours: the entry refused every later request with a prompt, as the wait at each endpoint exceeded its objective. The backlog is now at most the time for the prompts of the requests in progress.

Shown to fail before: test_malformed_request_numbers_do_not_harm_later_requests::tokens_huge (503 for the next sound prompt), test_placement_backlog_ends_with_the_requests_that_caused_it.

--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -60,6 +60,8 @@
     running: u32,
     non_retryable: u32,
     tokens: u64,
+    /// Prompt tokens that the in-flight requests of this entry have to prefill.
+    prefill: u64,
     /// Estimated time at which the prompts sent so far are prefilled.
     prefilled_at: Option<Instant>,
     /// Load that the other entries report.
@@ -80,8 +82,9 @@
         self.running += 1;
         self.non_retryable += u32::from(occupancy.non_retryable);
         self.tokens += occupancy.tokens;
-        let from = self.prefilled_at.map_or(now, |at| at.max(now));
-        self.prefilled_at = Some(from + prefill_time(occupancy.prefill));
+        let backlog = self.prefill_backlog(now);
+        self.prefilled_at = Some(now + backlog + prefill_time(occupancy.prefill));
+        self.prefill += u64::from(occupancy.prefill);
     }
 
     /// Removes a request that ended.
@@ -91,6 +94,7 @@
             .non_retryable
             .saturating_sub(u32::from(occupancy.non_retryable));
         self.tokens = self.tokens.saturating_sub(occupancy.tokens);
+        self.prefill = self.prefill.saturating_sub(occupancy.prefill.into());
     }
 
     /// Records the parts of a prompt as cached at the endpoint.
@@ -185,10 +189,12 @@
         self.tokens + self.peers.tokens
     }
 
-    /// Returns the estimated time until the prompts sent so far are prefilled.
+    /// Returns the estimated time until the prompts sent so far are prefilled; those of requests
+    /// that have ended no longer count.
     pub fn prefill_backlog(&self, now: Instant) -> Duration {
         let at = self.prefilled_at.unwrap_or(now);
-        at.saturating_duration_since(now)
+        let tokens = u32::try_from(self.prefill).unwrap_or(u32::MAX);
+        at.saturating_duration_since(now).min(prefill_time(tokens))
     }
 
     /// Returns the moving average of failures, from 0 (none) to 1 (every request fails).
--- a/entry/tests/test_placement.rs
+++ b/entry/tests/test_placement.rs
@@ -7,6 +7,7 @@
 use hawthornrack_entry::Choice;
 use hawthornrack_entry::DomainName;
 use hawthornrack_entry::EndpointKey;
+use hawthornrack_entry::EndpointLoad;
 use hawthornrack_entry::EndpointTable;
 use hawthornrack_entry::Engine;
 use hawthornrack_entry::Occupancy;
@@ -137,6 +138,29 @@
     assert_ne!(chosen_key(choose(&table, Some(&prompt), &[])), preferred);
 }
 
+// A prompt that was rejected or cancelled is not prefilled: if it still counted as backlog, one that
+// states a huge size would keep every other prompt away from the endpoint for hours.
+#[tokio::test(start_paused = true)]
+async fn test_placement_backlog_ends_with_the_requests_that_caused_it() {
+    let mut load = EndpointLoad::default();
+    let now = Instant::now();
+    let occupancy = |prefill| Occupancy {
+        prefill,
+        ..Occupancy::default()
+    };
+    load.begin(occupancy(1000), now);
+    let backlog = load.prefill_backlog(now);
+    load.begin(occupancy(u32::MAX), now);
+    assert!(load.prefill_backlog(now) > Duration::from_hours(1));
+    load.end(occupancy(u32::MAX));
+    assert_eq!(load.prefill_backlog(now), backlog);
+    load.begin(occupancy(500), now);
+    assert!(load.prefill_backlog(now) < backlog * 2);
+    load.end(occupancy(500));
+    load.end(occupancy(1000));
+    assert_eq!(load.prefill_backlog(now), Duration::ZERO);
+}
+
 // Requests sent to an unavailable endpoint fail; once it responds again, its sessions return to
 // their cached parts.
 #[tokio::test(start_paused = true)]
