placement: a huge number of slots in a server's record does not overflow

Such a record ended every request's task of its service with a panic, in a build with overflow checks: the product of slots and queue length overflowed, and the log line of an unplaced request would have overflowed too. A release build wraps, so that the server could look full, by the arithmetic (not run).

test_malformed_server_record_leaves_the_others_in_use::slots failed before.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -200,16 +200,16 @@
         let now = Instant::now();
         let endpoints = node.endpoints.lock();
         let candidates = || endpoints.candidates(&self.service, now);
-        let running: u32 = candidates().map(|(_, e)| e.load.running()).sum();
-        let slots: u32 = candidates().map(|(_, e)| e.record.slots).sum();
+        let running = candidates().map(|(_, e)| u64::from(e.load.running()));
+        let slots = candidates().map(|(_, e)| u64::from(e.record.slots));
         tracing::info!(
             event = "unplaced",
             id = self.request.call.id,
             service = %self.service,
             endpoints = candidates().count(),
             avoided = candidates().filter(|(_, e)| e.load.is_avoided(now)).count(),
-            running,
-            slots,
+            running = running.sum::<u64>(),
+            slots = slots.sum::<u64>(),
             sends = self.sends,
             wait_ms = wait.map(crate::millis),
             left_ms = crate::millis(self.request.deadline.saturating_duration_since(now)),
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -180,7 +180,13 @@
             let exceeds_kv_cache = needed as f64 > capacity && running > 0;
             running >= endpoint.record.slots || exceeds_kv_cache
         }
-        _ => running >= endpoint.record.slots * (1 + MAX_QUEUED_PER_SLOT),
+        _ => {
+            running
+                >= endpoint
+                    .record
+                    .slots
+                    .saturating_mul(1 + MAX_QUEUED_PER_SLOT)
+        }
     }
 }
 
