gossip: extreme loads that a peer reports do not overflow

The loads that peers report for an endpoint were added up with 32 and 64 bits. In a build with overflow checks an overflow ended the call or the gossip task with a panic, and then the task of each request. A release build wraps, so that a full endpoint looks idle, by the arithmetic (not run). The sums now end at the largest number.

--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::EndpointLoadReport;
 use crate::PartId;
 use crate::Prompt;
 use crate::PromptPart;
@@ -54,6 +55,15 @@
     pub non_retryable: u32,
 }
 
+impl PeerLoad {
+    /// Adds what one entry reports; sums end at the largest number.
+    pub(crate) fn add(&mut self, report: &EndpointLoadReport) {
+        self.running = self.running.saturating_add(report.running);
+        self.tokens = self.tokens.saturating_add(report.tokens);
+        self.non_retryable = self.non_retryable.saturating_add(report.non_retryable);
+    }
+}
+
 /// Load and health of one endpoint: this entry's own requests and what its peers report.
 #[derive(Debug, Default)]
 pub struct EndpointLoad {
@@ -159,13 +169,13 @@
 
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
-        self.running + self.peers.running
+        self.running.saturating_add(self.peers.running)
     }
 
     /// Returns the number of in-flight requests of all entries that cannot be continued on
     /// another endpoint.
     pub fn running_non_retryable(&self) -> u32 {
-        self.non_retryable + self.peers.non_retryable
+        self.non_retryable.saturating_add(self.peers.non_retryable)
     }
 
     /// Returns the number of in-flight requests of this entry that cannot be continued on
@@ -186,7 +196,7 @@
 
     /// Returns the KV cache space that the requests of all entries occupy, in tokens.
     pub fn tokens(&self) -> u64 {
-        self.tokens + self.peers.tokens
+        self.tokens.saturating_add(self.peers.tokens)
     }
 
     /// Returns the estimated time until the prompts sent so far are prefilled; those of requests
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -197,9 +197,7 @@
     for peer in members.live(now) {
         for report in &peer.state.loads {
             let load = loads.entry(report.id.clone()).or_default();
-            load.running += report.running;
-            load.tokens += report.tokens;
-            load.non_retryable += report.non_retryable;
+            load.add(report);
         }
     }
     drop(members);
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -176,7 +176,7 @@
     match (request.engine, request.prompt) {
         (Some(engine), Some(prompt)) => {
             let capacity = engine.kv_capacity as f64 * MAX_KV_CACHE_FRACTION;
-            let needed = endpoint.load.tokens() + prompt.max_tokens();
+            let needed = endpoint.load.tokens().saturating_add(prompt.max_tokens());
             let exceeds_kv_cache = needed as f64 > capacity && running > 0;
             running >= endpoint.record.slots || exceeds_kv_cache
         }
