--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -354,6 +354,7 @@
 // progress.
 #[rstest]
 #[case::comments(": wait\n\n", 300, true)]
+#[case::empty_lines("\n", 300, true)]
 #[case::parts_of_an_event("data: x", 300, true)]
 #[case::events_within_the_pause("data: x\n\n", 2_900, false)]
 #[tokio::test(start_paused = true)]
