--- a/entry/src/config.rs
+++ b/entry/src/config.rs
@@ -101,6 +101,14 @@
     pub unit: QuotaUnit,
 }
 
+impl Quota {
+    /// Returns the units that the customer's bucket holds; a bucket for less than one unit would
+    /// admit nothing.
+    pub(crate) fn capacity(&self) -> f64 {
+        self.burst.max(1.0)
+    }
+}
+
 /// A customer with its priority and quota.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Customer {
@@ -188,7 +196,8 @@
 
     /// Returns the size of a connection's read buffer, in bytes.
     pub fn read_buffer_bytes(&self) -> usize {
-        self.header_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES
+        let head = self.header_bytes.max(MIN_BUFFER_BYTES);
+        head.saturating_add(MIN_BUFFER_BYTES)
     }
 
     /// Returns the time within which a request's body must have arrived, given the caller's
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -5,8 +5,10 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::EndpointLoadReport;
 use crate::PartId;
 use crate::Prompt;
+use crate::PromptPart;
 
 /// Prompt tokens that an engine is assumed to prefill per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 45.0;
@@ -53,12 +55,23 @@
     pub non_retryable: u32,
 }
 
+impl PeerLoad {
+    /// Adds what one entry reports; sums end at the largest number.
+    pub(crate) fn add(&mut self, report: &EndpointLoadReport) {
+        self.running = self.running.saturating_add(report.running);
+        self.tokens = self.tokens.saturating_add(report.tokens);
+        self.non_retryable = self.non_retryable.saturating_add(report.non_retryable);
+    }
+}
+
 /// Load and health of one endpoint: this entry's own requests and what its peers report.
 #[derive(Debug, Default)]
 pub struct EndpointLoad {
     running: u32,
     non_retryable: u32,
     tokens: u64,
+    /// Prompt tokens that the in-flight requests of this entry have to prefill.
+    prefill: u64,
     /// Estimated time at which the prompts sent so far are prefilled.
     prefilled_at: Option<Instant>,
     /// Load that the other entries report.
@@ -79,8 +92,9 @@
         self.running += 1;
         self.non_retryable += u32::from(occupancy.non_retryable);
         self.tokens += occupancy.tokens;
-        let from = self.prefilled_at.map_or(now, |at| at.max(now));
-        self.prefilled_at = Some(from + prefill_time(occupancy.prefill));
+        let backlog = self.prefill_backlog(now);
+        self.prefilled_at = Some(now + backlog + prefill_time(occupancy.prefill));
+        self.prefill += u64::from(occupancy.prefill);
     }
 
     /// Removes a request that ended.
@@ -90,6 +104,7 @@
             .non_retryable
             .saturating_sub(u32::from(occupancy.non_retryable));
         self.tokens = self.tokens.saturating_sub(occupancy.tokens);
+        self.prefill = self.prefill.saturating_sub(occupancy.prefill.into());
     }
 
     /// Records the parts of a prompt as cached at the endpoint.
@@ -105,13 +120,8 @@
 
     /// Returns the number of tokens in the longest prefix of a prompt that is cached.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
-        let known = |part: &&crate::PromptPart| self.cached_parts.contains_key(&part.id);
-        prompt
-            .parts
-            .iter()
-            .take_while(known)
-            .map(|p| p.tokens)
-            .sum()
+        let known = |part: &&PromptPart| self.cached_parts.contains_key(&part.id);
+        sum_tokens(prompt.parts.iter().take_while(known))
     }
 
     /// Records a successful response and its latency, and ends any avoidance.
@@ -159,13 +169,13 @@
 
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
-        self.running + self.peers.running
+        self.running.saturating_add(self.peers.running)
     }
 
     /// Returns the number of in-flight requests of all entries that cannot be continued on
     /// another endpoint.
     pub fn running_non_retryable(&self) -> u32 {
-        self.non_retryable + self.peers.non_retryable
+        self.non_retryable.saturating_add(self.peers.non_retryable)
     }
 
     /// Returns the number of in-flight requests of this entry that cannot be continued on
@@ -186,13 +196,15 @@
 
     /// Returns the KV cache space that the requests of all entries occupy, in tokens.
     pub fn tokens(&self) -> u64 {
-        self.tokens + self.peers.tokens
+        self.tokens.saturating_add(self.peers.tokens)
     }
 
-    /// Returns the estimated time until the prompts sent so far are prefilled.
+    /// Returns the estimated time until the prompts sent so far are prefilled; those of requests
+    /// that have ended no longer count.
     pub fn prefill_backlog(&self, now: Instant) -> Duration {
         let at = self.prefilled_at.unwrap_or(now);
-        at.saturating_duration_since(now)
+        let tokens = u32::try_from(self.prefill).unwrap_or(u32::MAX);
+        at.saturating_duration_since(now).min(prefill_time(tokens))
     }
 
     /// Returns the moving average of failures, from 0 (none) to 1 (every request fails).
@@ -211,6 +223,12 @@
     }
 }
 
+/// Returns the number of tokens in parts of a prompt, at most `u32::MAX`.
+pub(crate) fn sum_tokens<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> u32 {
+    let tokens = parts.into_iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 /// Returns the estimated time in which an engine prefills a number of prompt tokens.
 pub fn prefill_time(tokens: u32) -> Duration {
     Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1000.0)
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -21,6 +21,7 @@
 use crate::Prompt;
 use crate::ServiceName;
 use crate::VersionFilter;
+use crate::endpoint_load::sum_tokens;
 use crate::prefill_time;
 
 /// Penalty for prefilling shared prompt parts that are not cached, as a multiple of the time that
@@ -175,11 +176,17 @@
     match (request.engine, request.prompt) {
         (Some(engine), Some(prompt)) => {
             let capacity = engine.kv_capacity as f64 * MAX_KV_CACHE_FRACTION;
-            let needed = endpoint.load.tokens() + prompt.max_tokens();
+            let needed = endpoint.load.tokens().saturating_add(prompt.max_tokens());
             let exceeds_kv_cache = needed as f64 > capacity && running > 0;
             running >= endpoint.record.slots || exceeds_kv_cache
         }
-        _ => running >= endpoint.record.slots * (1 + MAX_QUEUED_PER_SLOT),
+        _ => {
+            running
+                >= endpoint
+                    .record
+                    .slots
+                    .saturating_mul(1 + MAX_QUEUED_PER_SLOT)
+        }
     }
 }
 
@@ -216,7 +223,7 @@
         cost += (f64::from(load.running()) + noise) / slots * latency;
         return (cost, 0);
     };
-    let shared: u32 = prompt.parts.iter().map(|p| p.tokens).sum();
+    let shared = sum_tokens(&prompt.parts);
     let cached = if is_preferred {
         shared
     } else {
