--- a/platform/src/durations.rs
+++ b/entry/src/durations.rs
@@ -1,4 +1,4 @@
-//! Conversion of the platform's numbers to durations.
+//! Conversion of numbers from outside the process to durations.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 
 /// Converts seconds to a duration of at most [`MAX_DURATION`]; negative and non-finite values
 /// become zero.
-pub(crate) fn duration_from_secs(value: f64) -> Duration {
+pub fn duration_from_secs(value: f64) -> Duration {
     if !value.is_finite() {
         return Duration::ZERO;
     }
@@ -16,6 +16,6 @@
 }
 
 /// Converts milliseconds as in [`duration_from_secs`].
-pub(crate) fn duration_from_ms(value: f64) -> Duration {
+pub fn duration_from_ms(value: f64) -> Duration {
     duration_from_secs(value / 1000.0)
 }
