rollouts: the log shows the evidence of both sides

A rollout's stage change was logged with the counts of requests only: whether the new version's responses were missing, fast or slow could not be told from the log. Each stage change is now followed by one line per route with the numbers of responses and failures and the geometric mean of the response times on both sides.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -196,6 +196,7 @@
             old_running = view.old_running,
             old_once = view.old_non_retryable,
         );
+        log_evidence(&service, &evidence);
         Some(Rollout {
             stage: Some(next),
             ..rollout
@@ -243,6 +244,25 @@
     }
 }
 
+/// Logs what is known of both sides of a rollout, by route.
+fn log_evidence(service: &ServiceName, evidence: &RolloutEvidence) {
+    for (route, sides) in &evidence.routes {
+        let (old, target) = (&sides.old, &sides.target);
+        tracing::info!(
+            event = "rollout_evidence",
+            %service,
+            route,
+            old_answered = old.answered,
+            old_failed = old.failed,
+            old_typical_ms = old.typical_ms(),
+            target_sent = target.sent,
+            target_answered = target.answered,
+            target_failed = target.failed,
+            target_typical_ms = target.typical_ms(),
+        );
+    }
+}
+
 /// Returns the recent requests per second or, while the holder has no history, those since the
 /// order.
 fn request_rate(recent: (u64, Duration), total: (u64, Duration)) -> f64 {
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -81,6 +81,12 @@
         self.log_squares += log * log;
     }
 
+    /// Returns the geometric mean of the response times in milliseconds, or `None` without one.
+    pub(crate) fn typical_ms(&self) -> Option<u64> {
+        let log_mean = self.log_sum / self.answered as f64;
+        (self.answered > 0).then(|| log_mean.exp() as u64)
+    }
+
     fn add(&mut self, other: &Self) {
         self.sent += other.sent;
         self.answered += other.answered;
