rollouts: slowness is judged over all routes together

Times on different routes were not pooled because the mix of routes differs by side.

The differences on each route are now averaged, weighted by their precision; the spread is taken from the old versions. The threshold and the number of standard errors stay.

test_rollout_slow_version_is_found_by_few_requests_on_each_route (four responses on each of three routes, four times slower) failed on the code before.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -183,6 +183,7 @@
         if rollout.stage == Some(next) {
             return None;
         }
+        let slowdown = evidence.slowdown();
         tracing::info!(
             event = "rollout_stage",
             %service,
@@ -198,6 +199,9 @@
             longest_ms = crate::millis(view.duration_bound),
             old_running = view.old_running,
             old_once = view.old_non_retryable,
+            slowdown = slowdown.excess.exp(),
+            slowdown_stderr = slowdown.stderr,
+            slowdown_count = slowdown.count,
         );
         log_evidence(&service, &evidence);
         Some(Rollout {
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -179,6 +179,53 @@
         && excess > SLOWDOWN_STDERR_THRESHOLD * (slow_variance + baseline_variance).sqrt()
 }
 
+/// Difference between the times of both sides of a rollout, over all routes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Slowdown {
+    /// Number of times on the side of the new version.
+    pub(crate) count: u64,
+    /// Mean excess of the logarithms of the new version's times.
+    pub(crate) excess: f64,
+    /// Standard error of that mean.
+    pub(crate) stderr: f64,
+}
+
+impl Slowdown {
+    /// Pools the differences on the given routes, each weighted by its precision, so that the mix
+    /// of routes may differ by side.
+    ///
+    /// The spread of the times is taken from the old versions, which have more of them.
+    ///
+    /// Source: Cochran, "The combination of estimates from different experiments", 1954.
+    fn pool<'a>(routes: impl Iterator<Item = (&'a Outcomes, &'a Outcomes)>) -> Self {
+        let mut pooled = Self::default();
+        let mut weights = 0.0;
+        for (target, old) in routes {
+            if target.answered == 0 || old.answered < MIN_TIMED_RESPONSES {
+                continue;
+            }
+            let (baseline, baseline_variance) = old.log_mean();
+            let spread = baseline_variance * old.answered as f64;
+            let weight = 1.0 / (spread / target.answered as f64 + baseline_variance);
+            let (slow, _) = target.log_mean();
+            pooled.count += target.answered;
+            pooled.excess += weight * (slow - baseline);
+            weights += weight;
+        }
+        if weights > 0.0 {
+            pooled.excess /= weights;
+            pooled.stderr = weights.sqrt().recip();
+        }
+        pooled
+    }
+
+    fn is_regression(self) -> bool {
+        self.count >= MIN_TIMED_RESPONSES
+            && self.excess > SLOWDOWN_THRESHOLD.ln()
+            && self.excess > SLOWDOWN_STDERR_THRESHOLD * self.stderr
+    }
+}
+
 /// Outcomes of both sides of a rollout on one route.
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -276,6 +323,12 @@
         is_slow.then_some(Regression::Slow)
     }
 
+    /// Returns the difference in times between both sides over all routes, since the start.
+    pub(crate) fn slowdown(&self) -> Slowdown {
+        let timed = self.timed_since(&Self::default());
+        Slowdown::pool(timed.iter().map(|(target, old)| (target, *old)))
+    }
+
     fn is_failing_since(&self, older: &Self) -> bool {
         let mut total = (Outcomes::default(), Outcomes::default());
         for (route, evidence) in &self.routes {
@@ -291,7 +344,8 @@
 
     fn is_slow_since(&self, older: &Self) -> bool {
         let timed = self.timed_since(older);
-        timed.iter().any(|(target, old)| is_slow(target, old))
+        let pooled = Slowdown::pool(timed.iter().map(|(target, old)| (target, *old)));
+        pooled.is_regression() || timed.iter().any(|(target, old)| is_slow(target, old))
     }
 
     /// Returns the timed outcomes of the new version since a snapshot and the outcomes of the old
--- a/entry/tests/test_rollout_slow.rs
+++ b/entry/tests/test_rollout_slow.rs
@@ -81,19 +81,19 @@
     outcomes
 }
 
+fn record_old_outcomes(node: &Node, outcomes: Outcomes) {
+    let mut rollouts = node.rollouts.lock();
+    let evidence = rollouts.evidence_mut(&desk()).unwrap();
+    *evidence.side_mut("/a/", VersionSide::Old) = outcomes;
+}
+
 // Guards against a version that is kept because it is too slow to have responded yet: only complete
 // responses counted.
 #[tokio::test(start_paused = true)]
 async fn test_rollout_version_that_has_not_responded_is_found_slow() {
     let node = node_with_new_version().await;
     let mut rng = SmallRng::seed_from_u64(5);
-    let old = draw_outcomes(&mut rng, 200, 150.0);
-    let mut rollouts = node.rollouts.lock();
-    *rollouts
-        .evidence_mut(&desk())
-        .unwrap()
-        .side_mut("/a/", VersionSide::Old) = old;
-    drop(rollouts);
+    record_old_outcomes(&node, draw_outcomes(&mut rng, 200, 150.0));
     let client = Arc::new(ScriptedClient::new((0..8).map(|_| ScriptedSend::Hang)));
     let none = RolloutEvidence::new(4);
     for number in 0..8 {
@@ -108,6 +108,25 @@
     assert_eq!(found(), Some(Regression::Slow));
 }
 
+// Guards against a slow version that is found late because its few requests are spread over
+// several routes.
+#[test]
+fn test_rollout_slow_version_is_found_by_few_requests_on_each_route() {
+    let found = (0..100).filter(|seed| {
+        let mut rng = SmallRng::seed_from_u64(*seed);
+        let mut evidence = RolloutEvidence::new(1);
+        for (route, median_ms) in [("a", 100.0), ("b", 1_000.0), ("c", 2_000.0)] {
+            let old = draw_outcomes(&mut rng, 100, median_ms);
+            *evidence.side_mut(route, VersionSide::Old) = old;
+            let target = draw_outcomes(&mut rng, 4, median_ms * 4.0);
+            *evidence.side_mut(route, VersionSide::Target) = target;
+        }
+        evidence.find_regression(&RolloutEvidence::new(1)) == Some(Regression::Slow)
+    });
+    // The remaining ones are detected with more requests.
+    assert!(found.count() >= 95);
+}
+
 // Guards against the rollback of good versions whose requests still run, though they respond like
 // the old ones: at most 1% false alarms, with tests every 100 ms.
 #[test]
