rollouts: requests that do not end are compared at their age (log-rank test)

A version about twice as slow was completed or found after its exposure bound (share 0.2). The running ones counted only once they were older than a usual response, and the answered ones are the short ones, so the version looked usual.

Evidence now holds the times in 32 classes and the ages of running requests of both sides, and the log-rank test compares at each age the part of the requests that end.

test_rollout_version_whose_requests_do_not_end_is_found_before_they_are_overdue fails without the test (checked with the comparison left out).

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -321,7 +321,7 @@
 
     /// Counts a send towards the evidence of an open rollout of its service.
     ///
-    /// Returns the side of the version and, for the new one, the number of the running request.
+    /// Returns the side of the version and the number of the running request.
     fn record_rollout_send(
         &self,
         node: &Node,
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -28,7 +28,7 @@
     pub(crate) max_output: Option<u32>,
     /// Side of an open rollout to which the endpoint's version belongs.
     pub(crate) side: Option<VersionSide>,
-    /// Number of the request among those that run on a new version.
+    /// Number of the request among those of open rollouts.
     pub(crate) rollout_number: Option<u64>,
     pub(crate) started: Instant,
 }
--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -139,18 +139,19 @@
 pub struct Rollouts {
     services: IndexMap<ServiceName, Rollout>,
     evidence: IndexMap<ServiceName, RolloutEvidence>,
-    /// Requests that run on a new version, by their number.
+    /// Requests of open rollouts that run, by their number.
     running: IndexMap<u64, RunningRequest>,
     /// Number of the next such request.
     next_running: u64,
 }
 
-/// Request that runs on the new version of an open rollout.
+/// Request of an open rollout that runs.
 #[derive(Debug)]
 struct RunningRequest {
     service: ServiceName,
     order: u64,
     route: String,
+    side: VersionSide,
     started: Instant,
 }
 
@@ -213,7 +214,8 @@
         for request in self.running.values() {
             let evidence = evidence.get_mut(&request.service);
             if let Some(evidence) = evidence.filter(|e| e.order == request.order) {
-                evidence.record_running(&request.route, request.started.elapsed());
+                let age = request.started.elapsed();
+                evidence.record_running(&request.route, request.side, age);
             }
         }
         evidence
@@ -221,8 +223,8 @@
 
     /// Counts a request that is sent to one side of an open rollout.
     ///
-    /// Returns the request's number if it is sent to the new version; [`Self::end_running`] must
-    /// be called with it when the request has ended.
+    /// Returns the request's number; [`Self::end_running`] must be called with it when the request
+    /// has ended.
     pub(crate) fn record_send(
         &mut self,
         service: &ServiceName,
@@ -231,13 +233,11 @@
     ) -> Option<u64> {
         let evidence = self.evidence.get_mut(service)?;
         evidence.side_mut(route, side).sent += 1;
-        if side == VersionSide::Old {
-            return None;
-        }
         let request = RunningRequest {
             service: service.clone(),
             order: evidence.order,
             route: route.to_owned(),
+            side,
             started: Instant::now(),
         };
         let number = self.next_running;
--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -184,6 +184,7 @@
             return None;
         }
         let slowdown = evidence.slowdown();
+        let survival = evidence.compare_survival();
         tracing::info!(
             event = "rollout_stage",
             %service,
@@ -202,6 +203,9 @@
             slowdown = slowdown.excess.exp(),
             slowdown_stderr = slowdown.stderr,
             slowdown_count = slowdown.count,
+            ended = survival.observed,
+            ended_expected = survival.expected,
+            ended_shortfall = survival.shortfall(),
         );
         log_evidence(&service, &evidence);
         Some(Rollout {
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -12,6 +12,10 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::rollout_survival::LogRank;
+use crate::rollout_survival::SurvivalTable;
+use crate::rollout_survival::TimeHistogram;
+
 /// Log-likelihood ratio above which a version counts as failing: about one false alarm in 400.
 const FAILURE_LLR_THRESHOLD: f64 = 6.0;
 
@@ -41,6 +45,13 @@
 /// Minimum variance that is assumed of the logarithm of a response's time.
 const MIN_LOG_VARIANCE: f64 = 0.25;
 
+/// Number of standard errors by which the responses of a slow version must fall short of the
+/// expected number.
+const HAZARD_STDERR_THRESHOLD: f64 = 3.5;
+
+/// Ratio of expected to observed responses above which a version counts as slow.
+const HAZARD_RATIO_THRESHOLD: f64 = 1.7;
+
 /// Side of a rollout that a version is on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum VersionSide {
@@ -63,6 +74,9 @@
     pub log_sum: f64,
     /// Sum of the squares of those logarithms.
     pub log_squares: f64,
+    /// Number of complete responses by response time.
+    #[serde(default)]
+    pub times: TimeHistogram,
 }
 
 /// Way in which a new version is worse than the old ones.
@@ -86,6 +100,7 @@
         self.answered += 1;
         self.log_sum += log;
         self.log_squares += log * log;
+        self.times.record(response_time);
     }
 
     /// Returns the geometric mean of the response times in milliseconds, or `None` without one.
@@ -115,6 +130,7 @@
         self.failed += other.failed;
         self.log_sum += other.log_sum;
         self.log_squares += other.log_squares;
+        self.times.add(&other.times);
     }
 
     fn since(&self, older: &Self) -> Self {
@@ -124,6 +140,7 @@
             failed: self.failed.saturating_sub(older.failed),
             log_sum: self.log_sum - older.log_sum,
             log_squares: self.log_squares - older.log_squares,
+            times: self.times.since(&older.times),
         }
     }
 
@@ -179,6 +196,13 @@
         && excess > SLOWDOWN_STDERR_THRESHOLD * (slow_variance + baseline_variance).sqrt()
 }
 
+impl LogRank {
+    fn is_regression(self) -> bool {
+        self.shortfall() > HAZARD_STDERR_THRESHOLD
+            && self.expected > HAZARD_RATIO_THRESHOLD * self.observed
+    }
+}
+
 /// Difference between the times of both sides of a rollout, over all routes.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Slowdown {
@@ -234,6 +258,10 @@
     pub old: Outcomes,
     /// Outcomes of the new version.
     pub target: Outcomes,
+    /// Times since the start of the requests that run on old versions.
+    #[serde(default)]
+    #[serde_as(as = "Vec<DurationMilliSeconds<u64>>")]
+    pub old_running: Vec<Duration>,
     /// Times since the start of the requests that run on the new version.
     #[serde(default)]
     #[serde_as(as = "Vec<DurationMilliSeconds<u64>>")]
@@ -280,10 +308,13 @@
         }
     }
 
-    /// Adds a request that has run on the new version for the time `age`.
-    pub fn record_running(&mut self, route: &str, age: Duration) {
+    /// Adds a request that has run on one side for the time `age`.
+    pub fn record_running(&mut self, route: &str, side: VersionSide, age: Duration) {
         let evidence = self.routes.entry(route.to_owned()).or_default();
-        evidence.target_running.push(age);
+        match side {
+            VersionSide::Old => evidence.old_running.push(age),
+            VersionSide::Target => evidence.target_running.push(age),
+        }
     }
 
     /// Adds the evidence of another entry.
@@ -292,6 +323,7 @@
             let sum = self.routes.entry(route.clone()).or_default();
             sum.old.add(&evidence.old);
             sum.target.add(&evidence.target);
+            sum.old_running.extend(&evidence.old_running);
             sum.target_running.extend(&evidence.target_running);
         }
     }
@@ -299,6 +331,7 @@
     /// Removes the requests that run, of an entry that no longer says which ones do.
     pub(crate) fn clear_running(&mut self) {
         for evidence in self.routes.values_mut() {
+            evidence.old_running.clear();
             evidence.target_running.clear();
         }
     }
@@ -320,6 +353,7 @@
             return Some(Regression::Failing);
         }
         let is_slow = self.is_slow_since(&start) || self.is_slow_since(older);
+        let is_slow = is_slow || self.compare_survival().is_regression();
         is_slow.then_some(Regression::Slow)
     }
 
@@ -329,6 +363,18 @@
         Slowdown::pool(timed.iter().map(|(target, old)| (target, *old)))
     }
 
+    /// Compares how long requests run on both sides, over all routes.
+    pub(crate) fn compare_survival(&self) -> LogRank {
+        let mut log_rank = LogRank::default();
+        for route in self.routes.values() {
+            log_rank.add_stratum(
+                &SurvivalTable::new(&route.target.times, &route.target_running),
+                &SurvivalTable::new(&route.old.times, &route.old_running),
+            );
+        }
+        log_rank
+    }
+
     fn is_failing_since(&self, older: &Self) -> bool {
         let mut total = (Outcomes::default(), Outcomes::default());
         for (route, evidence) in &self.routes {
--- /dev/null
+++ b/entry/src/rollout_survival.rs
@@ -0,0 +1,120 @@
+//! Comparison of how long requests run on two sides, including requests that still run.
+//!
+//! A request that still runs is known to take longer than its age (it is censored). The log-rank
+//! test compares, for each age, the part of the requests of that age that end, and so uses the
+//! running ones up to their age.
+//!
+//! Sources: Mantel, "Evaluation of survival data and two new rank order statistics", 1966; Cutler
+//! and Ederer, "Maximum utilization of the life table method", 1958.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of classes of a [`TimeHistogram`].
+const CLASS_COUNT: usize = 32;
+
+/// Upper bound of the first class in milliseconds.
+const FIRST_CLASS_MS: f64 = 8.0;
+
+/// Width of a class on the scale of natural logarithms.
+const CLASS_WIDTH: f64 = 0.3;
+
+/// Numbers of requests by time, in classes of equal width on a logarithmic scale.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TimeHistogram([u32; CLASS_COUNT]);
+
+impl TimeHistogram {
+    pub(crate) fn record(&mut self, time: Duration) {
+        self.0[class_of(time)] += 1;
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        for (count, more) in self.0.iter_mut().zip(other.0) {
+            *count += more;
+        }
+    }
+
+    pub(crate) fn since(&self, older: &Self) -> Self {
+        let mut difference = *self;
+        for (count, before) in difference.0.iter_mut().zip(older.0) {
+            *count = count.saturating_sub(before);
+        }
+        difference
+    }
+}
+
+fn class_of(time: Duration) -> usize {
+    let ms = time.as_secs_f64() * 1000.0;
+    let class = (ms.max(1.0) / FIRST_CLASS_MS).ln() / CLASS_WIDTH + 1.0;
+    (class.max(0.0) as usize).min(CLASS_COUNT - 1)
+}
+
+/// Numbers of requests that reached and that ended in each class of time.
+#[derive(Debug)]
+pub(crate) struct SurvivalTable {
+    at_risk: [f64; CLASS_COUNT],
+    ended: [f64; CLASS_COUNT],
+}
+
+impl SurvivalTable {
+    /// Creates the table of requests that ended after `ended` and of those that run for `running`.
+    ///
+    /// A running request counts in the classes that it has completed.
+    pub(crate) fn new(ended: &TimeHistogram, running: &[Duration]) -> Self {
+        let mut censored = TimeHistogram::default();
+        for age in running {
+            censored.record(*age);
+        }
+        let mut table = Self {
+            at_risk: [0.0; CLASS_COUNT],
+            ended: ended.0.map(f64::from),
+        };
+        let mut longer = 0.0;
+        for class in (0..CLASS_COUNT).rev() {
+            longer += table.ended[class];
+            table.at_risk[class] = longer;
+            longer += f64::from(censored.0[class]);
+        }
+        table
+    }
+}
+
+/// Sums of the log-rank test.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LogRank {
+    /// Number of requests of the new version that ended.
+    pub(crate) observed: f64,
+    /// Number that would have ended if both sides were alike.
+    pub(crate) expected: f64,
+    /// Variance of the observed number if both sides were alike.
+    variance: f64,
+}
+
+impl LogRank {
+    /// Adds requests that are alike but for their side.
+    pub(crate) fn add_stratum(&mut self, target: &SurvivalTable, old: &SurvivalTable) {
+        for class in 0..CLASS_COUNT {
+            let (target_risk, old_risk) = (target.at_risk[class], old.at_risk[class]);
+            let risk = target_risk + old_risk;
+            let ended = target.ended[class] + old.ended[class];
+            if target_risk == 0.0 || old_risk == 0.0 || risk <= 1.0 {
+                continue;
+            }
+            let share = target_risk / risk;
+            self.observed += target.ended[class];
+            self.expected += ended * share;
+            self.variance += ended * share * (1.0 - share) * (risk - ended) / (risk - 1.0);
+        }
+    }
+
+    /// Returns by how many standard errors fewer requests ended than expected.
+    pub(crate) fn shortfall(self) -> f64 {
+        if self.variance > 0.0 {
+            (self.expected - self.observed) / self.variance.sqrt()
+        } else {
+            0.0
+        }
+    }
+}
--- a/entry/tests/test_rollout_slow.rs
+++ b/entry/tests/test_rollout_slow.rs
@@ -95,13 +95,13 @@
     let mut rng = SmallRng::seed_from_u64(5);
     record_old_outcomes(&node, draw_outcomes(&mut rng, 200, 150.0));
     let client = Arc::new(ScriptedClient::new((0..8).map(|_| ScriptedSend::Hang)));
-    let none = RolloutEvidence::new(4);
+    let start = RolloutEvidence::new(4);
     for number in 0..8 {
         let (node, client) = (Arc::clone(&node), Arc::clone(&client));
         tokio::spawn(async move { serve(&node, &*client, call(&number.to_string())).await });
     }
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let found = || node.rollouts.lock().evidence()[&desk()].find_regression(&none);
+    let found = || node.rollouts.lock().evidence()[&desk()].find_regression(&start);
     assert_eq!(client.seen.lock().len(), 8);
     assert_eq!(found(), None, "as usual so far");
     tokio::time::sleep(Duration::from_millis(900)).await;
@@ -155,7 +155,7 @@
                     continue;
                 };
                 if age < *took {
-                    evidence.record_running(route, age);
+                    evidence.record_running(route, VersionSide::Target, age);
                 } else {
                     evidence
                         .side_mut(route, VersionSide::Target)
@@ -168,3 +168,26 @@
     }
     assert!(alarms <= 10, "{alarms} of 1000");
 }
+
+// Guards against a slow version that is completed because most of its requests were sent in the
+// last seconds: none has run for long, but fewer have ended than should have.
+#[test]
+fn test_rollout_version_whose_requests_do_not_end_is_found_before_they_are_overdue() {
+    let found = (0..100).filter(|seed| {
+        let mut rng = SmallRng::seed_from_u64(*seed);
+        let mut evidence = RolloutEvidence::new(1);
+        *evidence.side_mut("a", VersionSide::Old) = draw_outcomes(&mut rng, 200, 1_400.0);
+        for number in 0..70 {
+            let age = Duration::from_millis(number * 30);
+            let took = draw_time(&mut rng, 1_400.0 * 3.0, 0.7);
+            if took > age {
+                evidence.record_running("a", VersionSide::Target, age);
+            } else {
+                let target = evidence.side_mut("a", VersionSide::Target);
+                target.record_response(took);
+            }
+        }
+        evidence.find_regression(&RolloutEvidence::new(1)) == Some(Regression::Slow)
+    });
+    assert!(found.count() >= 90);
+}
