rollouts: a version in doubt is not completed

No regression found was taken for a good version.

At the moment of completion a version whose responses fall short by more than 1.7 standard errors is in doubt: the cutover is postponed and the old versions serve until its requests have shown what it is. Still in doubt 20 s after the deadline, it is rolled back.

test_rollout_version_in_doubt_is_not_completed fails with the check left out.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -163,6 +163,7 @@
         let now_ms = node.synchronized_millis();
         let elapsed = Duration::from_millis(now_ms.saturating_sub(rollout.seen_ms));
         let recent = sent.saturating_sub(older.sent().0);
+        let survival = evidence.compare_survival();
         let view = RolloutView {
             stage: rollout.stage,
             stage_age: now.duration_since(tracker.stage_since),
@@ -177,6 +178,7 @@
             duration_bound: mean_duration_bound(node, &service),
             old_running: counts.old_running,
             old_non_retryable: counts.old_non_retryable,
+            is_in_doubt: survival.is_in_doubt(),
             regression: evidence.find_regression(&older),
         };
         let next = next_stage(&view, node.settings.exposure);
@@ -184,7 +186,6 @@
             return None;
         }
         let slowdown = evidence.slowdown();
-        let survival = evidence.compare_survival();
         tracing::info!(
             event = "rollout_stage",
             %service,
@@ -206,6 +207,7 @@
             ended = survival.observed,
             ended_expected = survival.expected,
             ended_shortfall = survival.shortfall(),
+            doubt = view.is_in_doubt,
         );
         log_evidence(&service, &evidence);
         Some(Rollout {
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -49,6 +49,9 @@
 /// expected number.
 const HAZARD_STDERR_THRESHOLD: f64 = 3.5;
 
+/// Number of standard errors from which a version is in doubt and not completed.
+const DOUBT_STDERR_THRESHOLD: f64 = 1.7;
+
 /// Ratio of expected to observed responses above which a version counts as slow.
 const HAZARD_RATIO_THRESHOLD: f64 = 1.7;
 
@@ -197,6 +200,11 @@
 }
 
 impl LogRank {
+    /// Returns whether responses are missing by more than chance explains in most rollouts.
+    pub(crate) fn is_in_doubt(self) -> bool {
+        self.shortfall() > DOUBT_STDERR_THRESHOLD
+    }
+
     fn is_regression(self) -> bool {
         self.shortfall() > HAZARD_STDERR_THRESHOLD
             && self.expected > HAZARD_RATIO_THRESHOLD * self.observed
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -56,6 +56,9 @@
 /// versions.
 const MAX_DRAIN_OVERRUN: Duration = Duration::from_secs(10);
 
+/// Time after the deadline from which a version that is still in doubt is rolled back.
+const MAX_DOUBT: Duration = Duration::from_secs(20);
+
 /// Limit on the requests that a bad version may get: `share` of all requests plus `slack`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExposureBounds {
@@ -94,6 +97,8 @@
     pub old_running: u32,
     /// Number of those that cannot continue at another endpoint.
     pub old_non_retryable: u32,
+    /// Whether the evidence speaks against the new version, though not clearly.
+    pub is_in_doubt: bool,
     /// Regression found in the new version, if any.
     pub regression: Option<Regression>,
 }
@@ -150,10 +155,14 @@
         self.old_running == 0 || can_skip_wait || late >= MAX_DRAIN_OVERRUN
     }
 
+    fn later_idle_ms(&self) -> u64 {
+        self.now_ms + crate::millis(self.time_left() + CUTOVER_WINDOW)
+    }
+
     /// Returns a later idle deadline in milliseconds since the Unix epoch if the exposure allowance
     /// until the deadline is used up and the new time differs enough to justify a stage.
     fn postponed_idle_ms(&self, idle_ms: u64, bounds: ExposureBounds) -> Option<u64> {
-        let later_ms = self.now_ms + crate::millis(self.time_left() + CUTOVER_WINDOW);
+        let later_ms = self.later_idle_ms();
         let is_much_later = later_ms > idle_ms + crate::millis(CUTOVER_WINDOW / 2);
         let is_exhausted = !self.time_left().is_zero() && self.allowance(bounds) <= 0.0;
         (is_exhausted && is_much_later).then_some(later_ms)
@@ -183,6 +192,14 @@
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
+        if view.is_complete(idle_ms) && view.is_in_doubt {
+            // The old versions serve until the requests on the new one have shown what it is.
+            return if view.elapsed > view.within + MAX_DOUBT {
+                next(RolloutState::RolledBack, 0, None)
+            } else {
+                next(RolloutState::InProgress, 0, Some(view.later_idle_ms()))
+            };
+        }
         if view.is_complete(idle_ms) {
             return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
         }
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -472,6 +472,7 @@
             duration_bound: Duration::from_millis((self.mean_duration_ms * 1.8) as u64),
             old_running: self.old_request_ends_ms.len() as u32,
             old_non_retryable: self.old_request_ends_ms.len() as u32,
+            is_in_doubt: false,
             regression: None,
         }
     }
@@ -544,6 +545,35 @@
     assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::Completed);
 }
 
+// Guards against a version that is completed at the deadline and kept, though it looks slow already:
+// most of its requests have just been sent. It must not stay in doubt for ever either.
+#[test]
+fn test_rollout_version_in_doubt_is_not_completed() {
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
+    let mut view = RolloutView {
+        stage: Some(Stage {
+            idle_ms: Some(START_MS),
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        now_ms: START_MS + 100,
+        elapsed: Duration::from_millis(15_900),
+        is_in_doubt: true,
+        ..simulation.view()
+    };
+    let waiting = next_stage(&view, BOUNDS);
+    assert_eq!(
+        (waiting.state, waiting.share),
+        (RolloutState::InProgress, 0)
+    );
+    assert!(waiting.idle_ms.unwrap() >= START_MS + 6_000);
+    view.is_in_doubt = false;
+    assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::Completed);
+    view.is_in_doubt = true;
+    view.elapsed = Duration::from_mins(1);
+    assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::RolledBack);
+}
+
 // Guards against a cutover to a version without endpoints, also after the deadline.
 #[test]
 fn test_rollout_without_endpoints_of_the_new_version_waits() {
