--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -78,6 +78,9 @@
             let key = (state.name.clone(), state.revision.incarnation);
             (key, state.evidence.clone())
         });
+        for evidence in self.by_process.values_mut() {
+            evidence.clear_running();
+        }
         for (key, mut evidence) in std::iter::once(own).chain(peers) {
             let evidence = evidence.swap_remove(service);
             if let Some(evidence) = evidence.filter(|e| e.order == self.order_id) {
@@ -160,6 +163,7 @@
         let now_ms = node.synchronized_millis();
         let elapsed = Duration::from_millis(now_ms.saturating_sub(rollout.seen_ms));
         let recent = sent.saturating_sub(older.sent().0);
+        let survival = evidence.compare_survival();
         let view = RolloutView {
             stage: rollout.stage,
             stage_age: now.duration_since(tracker.stage_since),
@@ -174,12 +178,14 @@
             duration_bound: mean_duration_bound(node, &service),
             old_running: counts.old_running,
             old_non_retryable: counts.old_non_retryable,
+            is_in_doubt: survival.is_in_doubt(),
             regression: evidence.find_regression(&older),
         };
         let next = next_stage(&view, node.settings.exposure);
         if rollout.stage == Some(next) {
             return None;
         }
+        let slowdown = evidence.slowdown();
         tracing::info!(
             event = "rollout_stage",
             %service,
@@ -195,7 +201,15 @@
             longest_ms = crate::millis(view.duration_bound),
             old_running = view.old_running,
             old_once = view.old_non_retryable,
+            slowdown = slowdown.excess.exp(),
+            slowdown_stderr = slowdown.stderr,
+            slowdown_count = slowdown.count,
+            ended = survival.observed,
+            ended_expected = survival.expected,
+            ended_shortfall = survival.shortfall(),
+            doubt = view.is_in_doubt,
         );
+        log_evidence(&service, &evidence);
         Some(Rollout {
             stage: Some(next),
             ..rollout
@@ -243,6 +257,26 @@
     }
 }
 
+/// Logs what is known of both sides of a rollout, by route.
+fn log_evidence(service: &ServiceName, evidence: &RolloutEvidence) {
+    for (route, sides) in &evidence.routes {
+        let (old, target) = (&sides.old, &sides.target);
+        tracing::info!(
+            event = "rollout_evidence",
+            %service,
+            route,
+            old_answered = old.answered,
+            old_failed = old.failed,
+            old_typical_ms = old.typical_ms(),
+            target_sent = target.sent,
+            target_answered = target.answered,
+            target_failed = target.failed,
+            target_running = sides.target_running.len(),
+            target_typical_ms = target.typical_ms(),
+        );
+    }
+}
+
 /// Returns the recent requests per second or, while the holder has no history, those since the
 /// order.
 fn request_rate(recent: (u64, Duration), total: (u64, Duration)) -> f64 {
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -9,6 +9,12 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+use crate::rollout_survival::LogRank;
+use crate::rollout_survival::SurvivalTable;
+use crate::rollout_survival::TimeHistogram;
 
 /// Log-likelihood ratio above which a version counts as failing: about one false alarm in 400.
 const FAILURE_LLR_THRESHOLD: f64 = 6.0;
@@ -39,6 +45,16 @@
 /// Minimum variance that is assumed of the logarithm of a response's time.
 const MIN_LOG_VARIANCE: f64 = 0.25;
 
+/// Number of standard errors by which the responses of a slow version must fall short of the
+/// expected number.
+const HAZARD_STDERR_THRESHOLD: f64 = 3.5;
+
+/// Number of standard errors from which a version is in doubt and not completed.
+const DOUBT_STDERR_THRESHOLD: f64 = 1.7;
+
+/// Ratio of expected to observed responses above which a version counts as slow.
+const HAZARD_RATIO_THRESHOLD: f64 = 1.7;
+
 /// Side of a rollout that a version is on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum VersionSide {
@@ -61,6 +77,9 @@
     pub log_sum: f64,
     /// Sum of the squares of those logarithms.
     pub log_squares: f64,
+    /// Number of complete responses by response time.
+    #[serde(default)]
+    pub times: TimeHistogram,
 }
 
 /// Way in which a new version is worse than the old ones.
@@ -72,13 +91,40 @@
     Slow,
 }
 
+/// Returns the natural logarithm of a time in milliseconds; times below 1 ms count as 1 ms.
+fn log_ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1000.0).max(1.0).ln()
+}
+
 impl Outcomes {
     /// Counts a complete response and its response time; times below 1 ms count as 1 ms.
     pub fn record_response(&mut self, response_time: Duration) {
-        let log = (response_time.as_secs_f64() * 1000.0).max(1.0).ln();
+        let log = log_ms(response_time);
         self.answered += 1;
         self.log_sum += log;
         self.log_squares += log * log;
+        self.times.record(response_time);
+    }
+
+    /// Returns the geometric mean of the response times in milliseconds, or `None` without one.
+    pub(crate) fn typical_ms(&self) -> Option<u64> {
+        let log_mean = self.log_sum / self.answered as f64;
+        (self.answered > 0).then(|| log_mean.exp() as u64)
+    }
+
+    /// Returns these outcomes with requests that still run counted as responses, if they have run
+    /// for longer than a usual response of the other side takes.
+    ///
+    /// Their times so far are lower bounds. Those that have run for less are left out: nothing is
+    /// known of them.
+    fn with_overdue(mut self, running: &[Duration], other: &Self) -> Self {
+        let (usual, _) = other.log_mean();
+        for age in running {
+            if log_ms(*age) > usual {
+                self.record_response(*age);
+            }
+        }
+        self
     }
 
     fn add(&mut self, other: &Self) {
@@ -87,6 +133,7 @@
         self.failed += other.failed;
         self.log_sum += other.log_sum;
         self.log_squares += other.log_squares;
+        self.times.add(&other.times);
     }
 
     fn since(&self, older: &Self) -> Self {
@@ -96,6 +143,7 @@
             failed: self.failed.saturating_sub(older.failed),
             log_sum: self.log_sum - older.log_sum,
             log_squares: self.log_squares - older.log_squares,
+            times: self.times.since(&older.times),
         }
     }
 
@@ -151,13 +199,88 @@
         && excess > SLOWDOWN_STDERR_THRESHOLD * (slow_variance + baseline_variance).sqrt()
 }
 
+impl LogRank {
+    /// Returns whether responses are missing by more than chance explains in most rollouts.
+    pub(crate) fn is_in_doubt(self) -> bool {
+        self.shortfall() > DOUBT_STDERR_THRESHOLD
+    }
+
+    fn is_regression(self) -> bool {
+        self.shortfall() > HAZARD_STDERR_THRESHOLD
+            && self.expected > HAZARD_RATIO_THRESHOLD * self.observed
+    }
+}
+
+/// Difference between the times of both sides of a rollout, over all routes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Slowdown {
+    /// Number of times on the side of the new version.
+    pub(crate) count: u64,
+    /// Mean excess of the logarithms of the new version's times.
+    pub(crate) excess: f64,
+    /// Standard error of that mean.
+    pub(crate) stderr: f64,
+}
+
+impl Slowdown {
+    /// Pools the differences on the given routes, each weighted by its precision, so that the mix
+    /// of routes may differ by side.
+    ///
+    /// The spread of the times is taken from the old versions, which have more of them.
+    ///
+    /// Source: Cochran, "The combination of estimates from different experiments", 1954.
+    fn pool<'a>(routes: impl Iterator<Item = (&'a Outcomes, &'a Outcomes)>) -> Self {
+        let mut pooled = Self::default();
+        let mut weights = 0.0;
+        for (target, old) in routes {
+            if target.answered == 0 || old.answered < MIN_TIMED_RESPONSES {
+                continue;
+            }
+            let (baseline, baseline_variance) = old.log_mean();
+            let spread = baseline_variance * old.answered as f64;
+            let weight = 1.0 / (spread / target.answered as f64 + baseline_variance);
+            let (slow, _) = target.log_mean();
+            pooled.count += target.answered;
+            pooled.excess += weight * (slow - baseline);
+            weights += weight;
+        }
+        if weights > 0.0 {
+            pooled.excess /= weights;
+            pooled.stderr = weights.sqrt().recip();
+        }
+        pooled
+    }
+
+    fn is_regression(self) -> bool {
+        self.count >= MIN_TIMED_RESPONSES
+            && self.excess > SLOWDOWN_THRESHOLD.ln()
+            && self.excess > SLOWDOWN_STDERR_THRESHOLD * self.stderr
+    }
+}
+
 /// Outcomes of both sides of a rollout on one route.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RouteEvidence {
     /// Outcomes of the old versions.
     pub old: Outcomes,
     /// Outcomes of the new version.
     pub target: Outcomes,
+    /// Times since the start of the requests that run on old versions.
+    #[serde(default)]
+    #[serde_as(as = "Vec<DurationMilliSeconds<u64>>")]
+    pub old_running: Vec<Duration>,
+    /// Times since the start of the requests that run on the new version.
+    #[serde(default)]
+    #[serde_as(as = "Vec<DurationMilliSeconds<u64>>")]
+    pub target_running: Vec<Duration>,
+}
+
+impl RouteEvidence {
+    /// Returns the outcomes of the new version with the times of overdue requests.
+    fn timed_target(&self) -> Outcomes {
+        self.target.with_overdue(&self.target_running, &self.old)
+    }
 }
 
 /// Outcomes of both sides of a rollout, by route.
@@ -191,12 +314,31 @@
         }
     }
 
+    /// Adds a request that has run on one side for the time `age`.
+    pub fn record_running(&mut self, route: &str, side: VersionSide, age: Duration) {
+        let evidence = self.routes.entry(route.to_owned()).or_default();
+        match side {
+            VersionSide::Old => evidence.old_running.push(age),
+            VersionSide::Target => evidence.target_running.push(age),
+        }
+    }
+
     /// Adds the evidence of another entry.
     pub fn add(&mut self, other: &Self) {
         for (route, evidence) in &other.routes {
             let sum = self.routes.entry(route.clone()).or_default();
             sum.old.add(&evidence.old);
             sum.target.add(&evidence.target);
+            sum.old_running.extend(&evidence.old_running);
+            sum.target_running.extend(&evidence.target_running);
+        }
+    }
+
+    /// Removes the requests that run, of an entry that no longer says which ones do.
+    pub(crate) fn clear_running(&mut self) {
+        for evidence in self.routes.values_mut() {
+            evidence.old_running.clear();
+            evidence.target_running.clear();
         }
     }
 
@@ -212,22 +354,73 @@
     /// Looks at each route and at all routes together, both since the start and since the snapshot
     /// `older`.
     pub fn find_regression(&self, older: &Self) -> Option<Regression> {
-        let mut total = RouteEvidence::default();
-        let mut recent = Outcomes::default();
+        let start = Self::default();
+        if self.is_failing_since(&start) || self.is_failing_since(older) {
+            return Some(Regression::Failing);
+        }
+        let is_slow =
+            self.is_slow() || self.is_slow_since(older) || self.compare_survival().is_regression();
+        is_slow.then_some(Regression::Slow)
+    }
+
+    /// Returns the difference in times between both sides over all routes, since the start.
+    pub(crate) fn slowdown(&self) -> Slowdown {
+        let timed = self.timed();
+        Slowdown::pool(timed.iter().map(|(target, old)| (target, *old)))
+    }
+
+    /// Compares how long requests run on both sides, over all routes.
+    pub(crate) fn compare_survival(&self) -> LogRank {
+        let mut log_rank = LogRank::default();
+        for route in self.routes.values() {
+            log_rank.add_stratum(
+                &SurvivalTable::new(&route.target.times, &route.target_running),
+                &SurvivalTable::new(&route.old.times, &route.old_running),
+            );
+        }
+        log_rank
+    }
+
+    fn is_failing_since(&self, older: &Self) -> bool {
+        let mut total = (Outcomes::default(), Outcomes::default());
         for (route, evidence) in &self.routes {
-            let before = older.routes.get(route).copied().unwrap_or_default();
-            let since = evidence.target.since(&before.target);
-            let found = find_regression(&evidence.target, &evidence.old)
-                .or_else(|| find_regression(&since, &evidence.old));
-            if found.is_some() {
-                return found;
+            let target = evidence.target.since(&older.target_of(route));
+            if is_failing(&target, &evidence.old) {
+                return true;
             }
-            total.old.add(&evidence.old);
-            total.target.add(&evidence.target);
-            recent.add(&since);
+            total.0.add(&target);
+            total.1.add(&evidence.old);
         }
-        // Times of different routes cannot be pooled, as the mix of routes may differ by side.
-        let is_bad = is_failing(&total.target, &total.old) || is_failing(&recent, &total.old);
-        is_bad.then_some(Regression::Failing)
+        is_failing(&total.0, &total.1)
+    }
+
+    fn is_slow(&self) -> bool {
+        let timed = self.timed();
+        let pooled = Slowdown::pool(timed.iter().map(|(target, old)| (target, *old)));
+        pooled.is_regression() || timed.iter().any(|(target, old)| is_slow(target, old))
+    }
+
+    /// Returns whether the newest responses on a route are slow.
+    ///
+    /// When fewer requests were sent than have ended, the newest responses are the long ones of
+    /// earlier requests and tell nothing.
+    fn is_slow_since(&self, older: &Self) -> bool {
+        self.routes.iter().any(|(route, evidence)| {
+            let target = evidence.target.since(&older.target_of(route));
+            target.sent >= target.answered && is_slow(&target, &evidence.old)
+        })
+    }
+
+    /// Returns the timed outcomes of the new version and the outcomes of the old versions, by
+    /// route.
+    fn timed(&self) -> Vec<(Outcomes, &Outcomes)> {
+        let routes = self.routes.values();
+        routes.map(|e| (e.timed_target(), &e.old)).collect()
+    }
+
+    fn target_of(&self, route: &str) -> Outcomes {
+        self.routes
+            .get(route)
+            .map_or_else(Outcomes::default, |e| e.target)
     }
 }
