part_crash: an endpoint process that responds later has not crashed

A broken connection counts as a crash of the endpoint under each shared part of the prompt, although the endpoint may live on: it truncates some responses, or accepts no more connections for a while.

Now a response to a request that was sent after the failure takes the crash back, also where a peer that does not know this reports it again; a later crash of the same process counts.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -3,7 +3,8 @@
 //! Such requests may differ in everything else, so the evidence is kept by part: the endpoint
 //! processes that failed under requests with it, against the requests with it that completed. A sound
 //! part fails together with a crashing one, but also completes without it, and its failures are a
-//! subset of those of the crashing part. Every entry passes on all crashes that it knows, so that
+//! subset of those of the crashing part. An endpoint process that responds to a later request has not
+//! crashed. Every entry passes on all crashes that it knows, so that
 //! they spread from every entry that has learnt of them and outlive the one that saw them.
 
 use std::time::Duration;
@@ -41,6 +42,10 @@
 /// Maximum number of crashes kept for a part; beyond it, the oldest is dropped.
 const MAX_CRASHES_PER_PART: usize = 12;
 
+/// Maximum number of processes known to have outlived a failure; beyond it, the one known for longest
+/// is dropped.
+const MAX_OUTLIVED: usize = 1024;
+
 /// Maximum number of parts reported to peers.
 const MAX_REPORTS: usize = 16;
 
@@ -97,6 +102,9 @@
 pub struct PartCrashTracker {
     suspects: IndexMap<PartId, Suspect>,
     completed: CompletedCounts,
+    /// Processes that responded after they seemed to have crashed, each with the time of the last
+    /// request that it responded to.
+    outlived: IndexMap<EndpointProcess, Instant>,
     /// Parts returned by [`PartCrashTracker::take_new_culprits`].
     announced: IndexSet<PartId>,
 }
@@ -115,6 +123,26 @@
         self.insert_crash(part, process, now, now) && !self.is_cleared(part, now)
     }
 
+    /// Records that an endpoint process responded to a request that was sent at `sent`, so that it had
+    /// not crashed before.
+    pub fn record_alive(&mut self, process: EndpointProcess, sent: Instant) {
+        let mut suspects = self.suspects.values();
+        let seemed_crashed = suspects.any(|s| s.crashes.get(&process).is_some_and(|at| *at < sent));
+        if let Some(last) = self.outlived.get_mut(&process) {
+            *last = sent.max(*last);
+        } else if seemed_crashed {
+            if self.outlived.len() >= MAX_OUTLIVED {
+                self.outlived.shift_remove_index(0);
+            }
+            self.outlived.insert(process, sent);
+        }
+        if seemed_crashed {
+            for suspect in self.suspects.values_mut() {
+                suspect.crashes.shift_remove(&process);
+            }
+        }
+    }
+
     /// Merges what a peer published at `published_at`.
     pub fn merge(
         &mut self,
@@ -146,7 +174,8 @@
         at: Instant,
         now: Instant,
     ) -> bool {
-        if now.saturating_duration_since(at) >= CRASH_RETENTION {
+        let is_outlived = self.outlived.get(&process).is_some_and(|last| at < *last);
+        if is_outlived || now.saturating_duration_since(at) >= CRASH_RETENTION {
             return false;
         }
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -8,6 +8,7 @@
 use crate::EndpointId;
 use crate::EndpointKey;
 use crate::EndpointNotice;
+use crate::EndpointProcess;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
@@ -45,6 +46,7 @@
     /// Records a successful response in the endpoint's load, the evidence of an open rollout and
     /// the duration estimates.
     pub(crate) fn record_success(&self, now: Instant) {
+        self.record_alive();
         let latency = now.duration_since(self.started);
         if let Some(endpoint) = self.node.endpoints.lock().get_mut(self.key) {
             endpoint.load.record_success(latency);
@@ -58,6 +60,7 @@
     /// Records a response that reports a failure, in the endpoint's load and in the evidence of an
     /// open rollout.
     pub(crate) fn record_failed_response(&self) {
+        self.record_alive();
         self.record_failure_in_load();
         self.update_evidence(|outcomes| outcomes.failed += 1);
     }
@@ -76,6 +79,13 @@
         endpoint.is_some_and(|e| e.accepts_requests(now))
     }
 
+    /// Records that the endpoint has not crashed before this send.
+    fn record_alive(&self) {
+        let process = EndpointProcess::new(&self.endpoint, self.incarnation);
+        let mut tracker = self.node.part_crashes.lock();
+        tracker.record_alive(process, self.started);
+    }
+
     fn update_evidence(&self, update: impl FnOnce(&mut Outcomes)) {
         let Some(side) = self.side else {
             return;
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -563,3 +563,34 @@
     let state: EntryState = serde_json::from_value(state).unwrap();
     assert_eq!(state.part_crashes, []);
 }
+
+// Guards against a sound part that is refused although the endpoints that broke its requests live on:
+// they truncate some responses, or accept no more connections for a while.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_failures_that_endpoints_outlive_are_no_crashes() {
+    let mut tracker = PartCrashTracker::default();
+    let part = PartId(7);
+    for process in 0..5 {
+        tracker.record_crash(part, EndpointProcess(process), Instant::now());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let reports = tracker.reports(Instant::now());
+    assert!(tracker.is_crashing(&[part], Instant::now()));
+    for process in 0..3 {
+        tracker.record_alive(EndpointProcess(process), Instant::now());
+    }
+    assert!(!tracker.is_crashing(&[part], Instant::now()));
+    // A peer that does not know it yet reports the same crashes.
+    let published_at = Instant::now();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    tracker.merge(
+        &EntryName::from("b"),
+        &reports,
+        published_at,
+        Instant::now(),
+    );
+    assert!(!tracker.is_crashing(&[part], Instant::now()));
+    // A process that outlived one failure may crash later.
+    tracker.record_crash(part, EndpointProcess(0), Instant::now());
+    assert!(tracker.is_crashing(&[part], Instant::now()));
+}
