--- a/entry/src/durations.rs
+++ b/entry/src/durations.rs
@@ -5,7 +5,7 @@
 /// Maximum duration; sums and multiples of it cannot overflow.
 const MAX_DURATION: Duration = Duration::from_hours(365 * 24);
 
-/// Converts seconds to a duration of at most [`MAX_DURATION`]; negative and non-finite values
+/// Converts seconds to a duration of at most one year; negative and non-finite values
 /// become zero.
 pub fn duration_from_secs(value: f64) -> Duration {
     if !value.is_finite() {
