--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,8 +14,6 @@
 use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
-use crate::EndpointNotice;
-use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
@@ -38,6 +36,9 @@
 use crate::log_limit;
 use crate::prefill_time;
 use crate::reservation::Reservation;
+use crate::send_outcome::notice_of;
+use crate::send_outcome::outcome_name;
+use crate::send_outcome::record_send_failure;
 use crate::shutdown::time_left_in_shutdown;
 
 /// A request waits for a free slot for at most its objective divided by this.
@@ -139,7 +140,7 @@
                 }
                 Ok(response) => return Ok((response, reservation)),
                 Err(failure) => {
-                    record_send_failure(node, self, &reservation, &failure);
+                    record_send_failure(node, &self.request, self.sends, &reservation, &failure);
                     drop(reservation);
                     self.handle_failure(node, &failure)?;
                 }
@@ -378,7 +379,7 @@
             let reason = format!("no response within {} ms", limit.as_millis());
             Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
         });
-        node.metrics.record_send(send_outcome(&response));
+        node.metrics.record_send(outcome_name(&response));
         response
     }
 
@@ -451,7 +452,7 @@
         reservation: &Reservation,
         failure: &SendFailure,
     ) {
-        record_send_failure(node, self, reservation, failure);
+        record_send_failure(node, &self.request, self.sends, reservation, failure);
     }
 
     /// Decides whether to retry after a failed send.
@@ -530,88 +531,6 @@
     candidates.any(|(_, e)| e.record.version != *target)
 }
 
-fn record_send_failure(
-    node: &Node,
-    attempts: &Attempts,
-    reservation: &Reservation,
-    failure: &SendFailure,
-) {
-    let now = Instant::now();
-    let request = &attempts.request;
-    let cause = match failure {
-        SendFailure::MayHaveRun(interruption) => Some(interruption.name()),
-        SendFailure::NotWritten(_) | SendFailure::Rejected { .. } => None,
-    };
-    tracing::info!(
-        event = "send_failed",
-        id = request.call.id,
-        endpoint = %reservation.endpoint,
-        sends = attempts.sends,
-        after_ms = crate::millis(now.duration_since(reservation.started)),
-        %failure,
-        cause,
-        parts = request.call.prompt.as_ref().map(crate::Prompt::part_list),
-    );
-    match failure {
-        SendFailure::Rejected {
-            misdirected: true, ..
-        } => reservation.mark_draining(),
-        SendFailure::Rejected { .. } => reservation.record_failure_in_load(),
-        SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
-        SendFailure::MayHaveRun(interruption) => {
-            reservation.record_interrupted(now);
-            let mut crashes = node.crashes.lock();
-            let incarnation = reservation.incarnation;
-            crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
-            drop(crashes);
-            if matches!(interruption, Interruption::ConnectionBroken(_))
-                && reservation.is_endpoint_serving(now)
-            {
-                record_part_crashes(node, &request.call, reservation, now);
-            }
-        }
-    }
-}
-
-/// Records a crash of the endpoint under each part of the request that others may hold too.
-fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
-    let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
-    let mut tracker = node.part_crashes.lock();
-    let mut is_urgent = false;
-    for part in call.shared_parts() {
-        is_urgent |= tracker.record_crash(part, process, now);
-    }
-    drop(tracker);
-    if is_urgent {
-        node.gossip_now.notify_one();
-    }
-    node.announce_crashing_parts(None);
-}
-
-/// Returns what an endpoint that responded said of its availability.
-fn notice_of<B>(sent: &Result<EndpointResponse<B>, SendFailure>) -> Option<EndpointNotice> {
-    match sent {
-        Ok(response) => Some(response.notice),
-        // Another endpoint speaks for itself only.
-        Err(SendFailure::Rejected {
-            misdirected: false,
-            notice,
-            ..
-        }) => Some(*notice),
-        Err(_) => None,
-    }
-}
-
-fn send_outcome<B>(response: &Result<EndpointResponse<B>, SendFailure>) -> &'static str {
-    match response {
-        Ok(response) if response.status < 500 => "answered",
-        Ok(_) => "failed",
-        Err(SendFailure::NotWritten(_)) => "not_written",
-        Err(SendFailure::Rejected { .. }) => "rejected",
-        Err(SendFailure::MayHaveRun(_)) => "may_have_run",
-    }
-}
-
 fn choose_branch(branches: &[Branch]) -> ServiceName {
     let sum: u32 = branches.iter().map(|b| b.weight).sum();
     let mut draw = rand::rng().random_range(0..sum.max(1));
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod rollout_evidence;
 mod rollout_plan;
 mod rollout_survival;
+mod send_outcome;
 mod serve;
 mod shutdown;
 mod sliding_counter;
