part_crash: the newest crashes and all needed counts are reported

An entry reports 16 parts; the sort by their number of crashes left ties in the order in which they were first seen. Beside 16 parts that were cut once with an endpoint, a new part that crashes endpoints was not reported, and each entry had to see all its crashes itself; parts of which only a count is reported came last and were dropped, so that peers went on refusing requests with them. Now suspected parts come first, then those with the newest crash, and counts have places of their own.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -46,7 +46,7 @@
 /// is dropped.
 const MAX_OUTLIVED: usize = 1024;
 
-/// Maximum number of parts reported to peers.
+/// Maximum number of parts with crashes that are reported to peers, and of parts with counts only.
 const MAX_REPORTS: usize = 16;
 
 /// Length of the periods in which completed requests are counted; the current and the last one count.
@@ -284,9 +284,17 @@
             .iter()
             .filter_map(|(part, suspect)| self.report(*part, suspect, now))
             .collect();
-        reports.sort_by_key(|report| std::cmp::Reverse(report.crashes.len()));
-        reports.truncate(MAX_REPORTS);
-        reports
+        let culprits = self.culprits(now);
+        let is_culprit = |part| culprits.iter().any(|c| c.parts.contains(&part));
+        let newest_crash = |report: &PartReport| report.crashes.iter().map(|(_, age)| *age).min();
+        reports.sort_by_key(|report| (!is_culprit(report.part), newest_crash(report)));
+        let (mut crashes, mut counts): (Vec<_>, Vec<_>) = reports
+            .into_iter()
+            .partition(|report| !report.crashes.is_empty());
+        crashes.truncate(MAX_REPORTS);
+        counts.truncate(MAX_REPORTS);
+        crashes.append(&mut counts);
+        crashes
     }
 
     fn report(&self, part: PartId, suspect: &Suspect, now: Instant) -> Option<PartReport> {
--- /dev/null
+++ b/entry/tests/test_crash_part_limits.rs
@@ -0,0 +1,76 @@
+//! Evidence on prompt parts that crash endpoints, at the limits of what an entry keeps and shares.
+
+use std::time::Duration;
+
+use hawthornrack_entry::EndpointId;
+use hawthornrack_entry::EndpointProcess;
+use hawthornrack_entry::EntryName;
+use hawthornrack_entry::PartCrashTracker;
+use hawthornrack_entry::PartId;
+use hawthornrack_entry::PartReport;
+use tokio::time::Instant;
+
+/// A part that crashes every endpoint.
+const BAD: PartId = PartId(1_000_000);
+
+/// Time between two crashes.
+const CRASH_INTERVAL: Duration = Duration::from_millis(400);
+
+fn process(number: u64) -> EndpointProcess {
+    EndpointProcess::new(&EndpointId::from("e"), number)
+}
+
+/// Returns a report of one crash of each of the given processes, the last one just now.
+fn report(part: PartId, processes: &[u64]) -> PartReport {
+    let ages = (0..processes.len() as u64).rev();
+    let interval_ms = CRASH_INTERVAL.as_millis() as u64;
+    PartReport {
+        part,
+        crashes: processes
+            .iter()
+            .zip(ages)
+            .map(|(number, age)| (process(*number), age * interval_ms))
+            .collect(),
+        completed: 0,
+    }
+}
+
+/// Records three crashes under a part.
+async fn crash_three_times(tracker: &mut PartCrashTracker, part: PartId) {
+    for number in 0..3 {
+        tracker.record_crash(part, process(number), Instant::now());
+        tokio::time::advance(CRASH_INTERVAL).await;
+    }
+}
+
+// A new crash was not reported to peers while many older parts had crashes, so that each entry had
+// to see all the crashes itself.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_newest_crash_is_reported_beside_many_older_ones() {
+    let mut tracker = PartCrashTracker::default();
+    for part in 0..40 {
+        tracker.record_crash(PartId(part), process(part), Instant::now());
+    }
+    tokio::time::advance(CRASH_INTERVAL).await;
+    tracker.record_crash(BAD, process(99), Instant::now());
+    let reports = tracker.reports(Instant::now());
+    assert!(reports.iter().any(|r| r.part == BAD), "{reports:?}");
+}
+
+// Counts of completed requests were left out of the reports of an entry with many crashes, so that
+// peers went on refusing sound requests.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_counts_are_reported_beside_many_crashes() {
+    let mut tracker = PartCrashTracker::default();
+    let sound = PartId(7_000);
+    tracker.record_completed(sound, Instant::now());
+    let peer = EntryName::from("peer");
+    let now = Instant::now();
+    tracker.merge(&peer, &[report(sound, &[1, 2, 3])], now, now);
+    for part in 0..40 {
+        tracker.record_crash(PartId(part), process(part), Instant::now());
+    }
+    let reports = tracker.reports(Instant::now());
+    let counts = reports.iter().find(|r| r.part == sound);
+    assert_eq!(counts.map(|r| r.completed), Some(1), "{reports:?}");
+}
