part_crash: a part known to crash endpoints is not forgotten for others

When 256 parts with crashes are tracked, the one tracked for longest was dropped: the one that crashes endpoints, as its crashes came first and those of the requests beside it after it. Now it is the oldest of those with the fewest crashes. The test failed before.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -36,7 +36,7 @@
 /// a crash again that it has forgotten.
 const CRASH_SHARING_PERIOD: Duration = Duration::from_mins(2);
 
-/// Maximum number of parts with crashes; beyond it, the one tracked for longest is dropped.
+/// Maximum number of parts with crashes; beyond it, the oldest with the fewest crashes is dropped.
 const MAX_SUSPECTS: usize = 256;
 
 /// Maximum number of crashes kept for a part; beyond it, the oldest is dropped.
@@ -193,12 +193,15 @@
         true
     }
 
-    /// Removes parts whose crashes no longer count, or the one tracked for longest if there are none.
+    /// Removes parts whose crashes no longer count, or the oldest with the fewest if there are none.
     fn remove_expired(&mut self, now: Instant) {
         self.suspects
             .retain(|_, suspect| suspect.live_crashes(now).count() > 0);
         if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.shift_remove_index(0);
+            let crashes = |index: &usize| self.suspects[*index].crashes.len();
+            if let Some(index) = (0..self.suspects.len()).min_by_key(crashes) {
+                self.suspects.shift_remove_index(index);
+            }
         }
         let suspects = &self.suspects;
         self.announced.retain(|part| suspects.contains_key(part));
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -74,3 +74,14 @@
     let counts = reports.iter().find(|r| r.part == sound);
     assert_eq!(counts.map(|r| r.completed), Some(1), "{reports:?}");
 }
+
+// A part known to crash endpoints was forgotten first when many other parts had crashes.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_known_part_outlives_many_single_crashes() {
+    let mut tracker = PartCrashTracker::default();
+    crash_three_times(&mut tracker, BAD).await;
+    for part in 0..400 {
+        tracker.record_crash(PartId(part), process(part), Instant::now());
+    }
+    assert!(tracker.is_crashing(&[BAD], Instant::now()));
+}
