part_crash: a count that arrives before the crashes is kept

An entry that starts learns all states of its peers in one reply, in any order. A peer's count of completed requests with a part was dropped if no crash of it was known yet, and the entry refused sound requests until the peer's next report. The test failed before.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -156,9 +156,11 @@
                 let at = published_at.checked_sub(Duration::from_millis(*age_ms));
                 self.insert_crash(report.part, *process, at.unwrap_or(published_at), now);
             }
-            let Some(suspect) = self.suspects.get_mut(&report.part) else {
+            let is_known = self.suspects.contains_key(&report.part);
+            if !is_known && (report.completed == 0 || self.suspects.len() >= MAX_SUSPECTS) {
                 continue;
-            };
+            }
+            let suspect = self.suspects.entry(report.part).or_default();
             suspect.is_known_to_peers |= !report.crashes.is_empty();
             suspect
                 .peer_completed
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -85,3 +85,24 @@
     }
     assert!(tracker.is_crashing(&[BAD], Instant::now()));
 }
+
+// A peer's count of completed requests that arrived before the crashes was dropped, so that an
+// entry that had just started refused sound requests.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_count_that_arrives_before_the_crashes_is_kept() {
+    let mut tracker = PartCrashTracker::default();
+    let sound = PartId(7);
+    let counts = PartReport {
+        completed: 5,
+        ..report(sound, &[])
+    };
+    let now = Instant::now();
+    tracker.merge(&EntryName::from("b"), &[counts], now, now);
+    tracker.merge(
+        &EntryName::from("a"),
+        &[report(sound, &[1, 2, 3])],
+        now,
+        now,
+    );
+    assert!(!tracker.is_crashing(&[sound], now));
+}
