part_crash: sound requests are not compared with all evidence

A part that nearly all requests of a route share stays known after an incident, so that each of them looked for culprits in all evidence at every check. Only a part that can itself be a culprit needs that; the decision stays the same.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -220,9 +220,15 @@
         completed * CRASHES_PER_COMPLETION >= crashes
     }
 
+    /// Returns whether a part has enough crashes, and completed requests do not outweigh them.
+    fn is_candidate(&self, part: PartId, now: Instant) -> bool {
+        let suspect = self.suspects.get(&part);
+        suspect.is_some_and(|s| s.crashes.len() >= CRASH_THRESHOLD) && !self.is_cleared(part, now)
+    }
+
     /// Returns whether a request with these parts is expected to crash its endpoint.
     pub fn is_crashing(&self, parts: &[PartId], now: Instant) -> bool {
-        if !parts.iter().any(|part| self.suspects.contains_key(part)) {
+        if !parts.iter().any(|part| self.is_candidate(*part, now)) {
             return false;
         }
         let culprits = self.culprits(now);
@@ -249,9 +255,7 @@
         let mut candidates: Vec<(PartId, IndexMap<EndpointProcess, Instant>)> = self
             .suspects
             .iter()
-            .filter(|(part, suspect)| {
-                suspect.crashes.len() >= CRASH_THRESHOLD && !self.is_cleared(**part, now)
-            })
+            .filter(|(part, _)| self.is_candidate(**part, now))
             .map(|(part, suspect)| (*part, suspect.live_crashes(now).collect()))
             .collect();
         let mut culprits: Vec<Culprit> = Vec::new();
