--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -214,10 +214,11 @@
         let Some(suspect) = self.suspects.get(&part) else {
             return true;
         };
-        let peers: u64 = suspect.peer_completed.values().sum();
-        let completed = self.completed.count(part) + peers;
+        let peers = suspect.peer_completed.values();
+        let own = self.completed.count(part);
+        let completed = peers.fold(own, |sum, count| sum.saturating_add(*count));
         let crashes = suspect.live_crashes(now).count() as u64;
-        completed * CRASHES_PER_COMPLETION >= crashes
+        completed.saturating_mul(CRASHES_PER_COMPLETION) >= crashes
     }
 
     /// Returns whether a part has enough crashes, and completed requests do not outweigh them.
--- a/entry/src/rollout_survival.rs
+++ b/entry/src/rollout_survival.rs
@@ -27,12 +27,13 @@
 
 impl TimeHistogram {
     pub(crate) fn record(&mut self, time: Duration) {
-        self.0[class_of(time)] += 1;
+        let count = &mut self.0[class_of(time)];
+        *count = count.saturating_add(1);
     }
 
     pub(crate) fn add(&mut self, other: &Self) {
         for (count, more) in self.0.iter_mut().zip(other.0) {
-            *count += more;
+            *count = count.saturating_add(more);
         }
     }
 
