rollouts: a version whose first requests fail is in doubt

Its log: at the idle deadline 4 requests sent to it, 0 answered, 2 failed, 2 running; three failures are needed for a regression, and doubt was a matter of slowness only.

Failures that speak against a version, though not clearly, put it in doubt as well, and the cutover is postponed. The function that the new test calls did not exist before; the driver asked for slowness only.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -178,7 +178,7 @@
             duration_bound: mean_duration_bound(node, &service),
             old_running: counts.old_running,
             old_non_retryable: counts.old_non_retryable,
-            is_in_doubt: survival.is_in_doubt(),
+            is_in_doubt: evidence.is_in_doubt(),
             regression: evidence.find_regression(&older),
         };
         let next = next_stage(&view, node.settings.exposure);
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -19,6 +19,9 @@
 /// Log-likelihood ratio above which a version counts as failing: about one false alarm in 400.
 const FAILURE_LLR_THRESHOLD: f64 = 6.0;
 
+/// Log-likelihood ratio above which a version is in doubt and not completed.
+const FAILURE_LLR_DOUBT: f64 = 1.0;
+
 /// Minimum number of failures for a version to count as failing.
 const MIN_FAILURES: u64 = 3;
 
@@ -176,16 +179,18 @@
 }
 
 fn is_failing(target: &Outcomes, old: &Outcomes) -> bool {
-    if target.failed < MIN_FAILURES {
-        return false;
-    }
+    target.failed >= MIN_FAILURES && failure_llr(target, old) > FAILURE_LLR_THRESHOLD
+}
+
+/// Returns the log-likelihood ratio of a failing version against one that fails like the old ones.
+fn failure_llr(target: &Outcomes, old: &Outcomes) -> f64 {
     let good = old
         .failure_rate()
         .clamp(MIN_FAILURE_RATE, MAX_FAILURE_RATE - FAILURE_RATE_EXCESS);
     let bad = good + FAILURE_RATE_EXCESS;
     let failures = target.failed as f64 * (bad / good).ln();
     let responses = target.answered as f64 * ((1.0 - bad) / (1.0 - good)).ln();
-    failures + responses > FAILURE_LLR_THRESHOLD
+    failures + responses
 }
 
 fn is_slow(target: &Outcomes, old: &Outcomes) -> bool {
@@ -381,6 +386,17 @@
         log_rank
     }
 
+    /// Returns whether the evidence speaks against the new version, though not clearly.
+    pub fn is_in_doubt(&self) -> bool {
+        let mut total = RouteEvidence::default();
+        for evidence in self.routes.values() {
+            total.target.add(&evidence.target);
+            total.old.add(&evidence.old);
+        }
+        let is_failing = failure_llr(&total.target, &total.old) > FAILURE_LLR_DOUBT;
+        is_failing || self.compare_survival().is_in_doubt()
+    }
+
     fn is_failing_since(&self, older: &Self) -> bool {
         let mut total = (Outcomes::default(), Outcomes::default());
         for (route, evidence) in &self.routes {
--- a/entry/tests/test_rollout_slow.rs
+++ b/entry/tests/test_rollout_slow.rs
@@ -233,3 +233,23 @@
     }
     assert!(alarms <= 10, "{alarms} of 1000");
 }
+
+// A version of whose first four requests two had failed and two still ran was completed and kept:
+// two failures are too few to count as failing.
+#[test]
+fn test_rollout_version_with_a_first_failure_is_in_doubt() {
+    let mut evidence = RolloutEvidence::new(1);
+    let old = evidence.side_mut("/a/", VersionSide::Old);
+    for _ in 0..384 {
+        old.record_response(Duration::from_millis(23));
+    }
+    let target = evidence.side_mut("/a/", VersionSide::Target);
+    target.sent = 4;
+    target.failed = 1;
+    assert!(evidence.is_in_doubt());
+    let target = evidence.side_mut("/a/", VersionSide::Target);
+    for _ in 0..20 {
+        target.record_response(Duration::from_millis(23));
+    }
+    assert!(!evidence.is_in_doubt(), "one failure in 21 responses");
+}
