rollouts: a slightly slower version is neither slow nor in doubt

Cause: the log-rank test asks whether requests on the new version take longer, not how much longer. Where response times hardly differ, a version 27% slower (28 ms instead of 22) has no response in the class of time in which all old ones end: significant beyond any threshold, and expected exceeds observed by any ratio. For the same reason every twentieth sound version was in doubt at the moment of its completion, as 1.7 standard errors are one case in 20.

The test is repeated with the times of the new version shortened by the slowdown that is tolerated (1.8, below the 2.2 of the comparison of means); a version is slow or in doubt only if requests are missing then as well.

The new test failed before: left Some(Slow), right None.

--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -363,8 +363,9 @@
         if self.is_failing_since(&start) || self.is_failing_since(older) {
             return Some(Regression::Failing);
         }
-        let is_slow =
-            self.is_slow() || self.is_slow_since(older) || self.compare_survival().is_regression();
+        let is_slow = self.is_slow()
+            || self.is_slow_since(older)
+            || self.exceeds_tolerance() && self.compare_survival().is_regression();
         is_slow.then_some(Regression::Slow)
     }
 
@@ -386,6 +387,20 @@
         log_rank
     }
 
+    /// Returns whether the new version is more likely slower than tolerated than not.
+    ///
+    /// Where times hardly differ, a small slowdown is significant as well.
+    fn exceeds_tolerance(&self) -> bool {
+        let mut log_rank = LogRank::default();
+        for route in self.routes.values() {
+            log_rank.add_stratum(
+                &SurvivalTable::tolerant(&route.target.times, &route.target_running),
+                &SurvivalTable::new(&route.old.times, &route.old_running),
+            );
+        }
+        log_rank.shortfall() > 0.0
+    }
+
     /// Returns whether the evidence speaks against the new version, though not clearly.
     pub fn is_in_doubt(&self) -> bool {
         let mut total = RouteEvidence::default();
@@ -394,7 +409,7 @@
             total.old.add(&evidence.old);
         }
         let is_failing = failure_llr(&total.target, &total.old) > FAILURE_LLR_DOUBT;
-        is_failing || self.compare_survival().is_in_doubt()
+        is_failing || self.exceeds_tolerance() && self.compare_survival().is_in_doubt()
     }
 
     fn is_failing_since(&self, older: &Self) -> bool {
--- a/entry/src/rollout_survival.rs
+++ b/entry/src/rollout_survival.rs
@@ -21,6 +21,9 @@
 /// Width of a class on the scale of natural logarithms.
 const CLASS_WIDTH: f64 = 0.3;
 
+/// Tolerated slowdown as a number of classes: a version up to 1.8 times as slow is not bad.
+const TOLERATED_CLASSES: usize = 2;
+
 /// Numbers of requests by time, in classes of equal width on a logarithmic scale.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct TimeHistogram([u32; CLASS_COUNT]);
@@ -37,6 +40,16 @@
         }
     }
 
+    /// Returns the numbers of the same requests if their times were shorter by a number of classes.
+    fn shortened(&self, classes: usize) -> Self {
+        let mut shorter = Self::default();
+        for (class, count) in self.0.iter().enumerate() {
+            let sum = &mut shorter.0[class.saturating_sub(classes)];
+            *sum = sum.saturating_add(*count);
+        }
+        shorter
+    }
+
     pub(crate) fn since(&self, older: &Self) -> Self {
         let mut difference = *self;
         for (count, before) in difference.0.iter_mut().zip(older.0) {
@@ -52,6 +65,14 @@
     (class.max(0.0) as usize).min(CLASS_COUNT - 1)
 }
 
+fn histogram_of(ages: &[Duration]) -> TimeHistogram {
+    let mut histogram = TimeHistogram::default();
+    for age in ages {
+        histogram.record(*age);
+    }
+    histogram
+}
+
 /// Numbers of requests that reached and that ended in each class of time.
 #[derive(Debug)]
 pub(crate) struct SurvivalTable {
@@ -64,10 +85,19 @@
     ///
     /// A running request counts in the classes that it has completed.
     pub(crate) fn new(ended: &TimeHistogram, running: &[Duration]) -> Self {
-        let mut censored = TimeHistogram::default();
-        for age in running {
-            censored.record(*age);
-        }
+        Self::from_histograms(ended, &histogram_of(running))
+    }
+
+    /// Creates the table that the requests would have if their times were shorter by the tolerated
+    /// slowdown.
+    pub(crate) fn tolerant(ended: &TimeHistogram, running: &[Duration]) -> Self {
+        Self::from_histograms(
+            &ended.shortened(TOLERATED_CLASSES),
+            &histogram_of(running).shortened(TOLERATED_CLASSES),
+        )
+    }
+
+    fn from_histograms(ended: &TimeHistogram, censored: &TimeHistogram) -> Self {
         let mut table = Self {
             at_risk: [0.0; CLASS_COUNT],
             ended: ended.0.map(f64::from),
--- a/entry/tests/test_rollout_slow.rs
+++ b/entry/tests/test_rollout_slow.rs
@@ -253,3 +253,20 @@
     }
     assert!(!evidence.is_in_doubt(), "one failure in 21 responses");
 }
+
+// Guards against the rollback and the delay of a good version whose responses take a little longer
+// than before: where response times hardly differ, that is significant, but not several times slower.
+#[test]
+fn test_rollout_slightly_slower_version_is_neither_slow_nor_in_doubt() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut evidence = RolloutEvidence::new(1);
+    for (side, median_ms) in [(VersionSide::Old, 22.0), (VersionSide::Target, 28.0)] {
+        for _ in 0..40 {
+            let outcomes = evidence.side_mut("a", side);
+            outcomes.sent += 1;
+            outcomes.record_response(draw_time(&mut rng, median_ms, 0.03));
+        }
+    }
+    assert_eq!(evidence.find_regression(&RolloutEvidence::new(1)), None);
+    assert!(!evidence.is_in_doubt());
+}
