gossip: a configuration that an entry has is not sent to it again

What callers saw: nothing that is traced to this alone. While configurations come in quick succession, the links of small VMs are busy with copies of them.

Cause: an entry's state is built once per refresh interval, 15 ms an entry (0.9 s with 62) and up to 4 s. It named the configuration of that time, and each peer that was asked meanwhile sent its complete configuration, up to 256 KiB, to an entry that had it.

The state now names the current version whenever it is sent; the rest of it is built as often as before.

The new test failed before: the reply held the configuration of version 5, which the entry had.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -191,6 +191,11 @@
         self.config.read().clone()
     }
 
+    /// Returns the version of the active configuration; 0 if none is known.
+    fn config_version(&self) -> u64 {
+        self.config.read().as_ref().map_or(0, |c| c.version)
+    }
+
     /// Activates a configuration if it is newer than the active one; returns whether it was.
     pub fn apply_config(&self, config: Config, source: &'static str) -> bool {
         let mut current = self.config.write();
@@ -345,8 +350,15 @@
     }
 
     /// Returns this entry's state for peers, rebuilt once per refresh interval or when readiness
-    /// changes.
+    /// changes; its version of the configuration is always the current one.
     pub fn own_state(&self) -> EntryState {
+        let mut state = self.recent_state();
+        // Peers send the complete configuration to an entry that states an older version.
+        state.config = self.config_version();
+        state
+    }
+
+    fn recent_state(&self) -> EntryState {
         let now = Instant::now();
         let interval = if self.rollouts.lock().is_cutting_over() {
             CUTOVER_REFRESH_INTERVAL
@@ -394,7 +406,7 @@
             front_address: settings.front_address,
             domain: settings.domain.clone(),
             ready: self.is_ready(),
-            config: self.config().map_or(0, |c| c.version),
+            config: self.config_version(),
             lease: self.lease.lock().view(),
             loads,
             admitted: charged
--- a/entry/tests/test_members.rs
+++ b/entry/tests/test_members.rs
@@ -103,6 +103,26 @@
     assert_eq!(informed.entry_count(), 2);
 }
 
+// Guards against links that are busy with copies of a configuration: an entry's state is built once
+// per refresh interval and named an older version, so that each peer sent the newer one again.
+#[tokio::test(start_paused = true)]
+async fn test_members_exchange_sends_no_configuration_that_the_entry_has() {
+    let kind = hawthornrack_entry::RouteKind::Once;
+    let (informed, asking) = (node(config(kind), 1), node(config(kind), 1));
+    asking.own_state();
+    let mut newer = config(kind);
+    newer.version = 5;
+    for node in [&informed, &asking] {
+        assert!(node.apply_config(newer.clone(), "test"));
+    }
+    let exchange = GossipRequest {
+        own: asking.own_state(),
+        digest: IndexMap::new(),
+        has_endpoints: true,
+    };
+    assert_eq!(handle_exchange(&informed, exchange).config, None);
+}
+
 // A delayed update must not replace a newer configuration.
 #[tokio::test(start_paused = true)]
 async fn test_members_configuration_ignores_older_versions() {
