feeds: an entry that is behind reads only the newest configuration

Cause: an entry read every version in order, in pages of up to 1 MiB, with the batch delay after each.

An entry now asks for pages of 256 KiB. A configuration is complete, and so is a rollout order, so that nothing else is needed.

Changed tests: the clients of test_feed.rs and test_relay.rs fill the new field `has_more`.

--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -50,6 +50,9 @@
 /// Delay after the first failed call; doubles with each consecutive failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Maximum size of a page of operators' orders, in KiB: about one large configuration.
+const ORDERS_PAGE_KIB: u64 = 256;
+
 /// Maximum delay after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
@@ -62,6 +65,16 @@
     Endpoints,
 }
 
+impl Feed {
+    /// Returns the maximum size of a page of updates, in KiB; `None` for the store's own maximum.
+    pub const fn max_page_kib(self) -> Option<u64> {
+        match self {
+            Self::Orders => Some(ORDERS_PAGE_KIB),
+            Self::Endpoints => None,
+        }
+    }
+}
+
 /// One update of a feed.
 #[derive(Clone, Debug)]
 pub enum Update {
@@ -82,6 +95,8 @@
     pub updates: Vec<Update>,
     /// Position of the next read.
     pub next_position: u64,
+    /// Whether there are further updates, which did not fit into the response.
+    pub has_more: bool,
 }
 
 /// request to the platform failed: {0}
@@ -100,8 +115,9 @@
     /// Returns a [`FeedError`] when the feed cannot be read.
     fn snapshot(&self, feed: Feed) -> impl Future<Output = Result<Updates, FeedError>> + Send;
 
-    /// Reads updates from a position, waiting for the first update for at most `wait`; returns
-    /// `None` when updates after the position are no longer retained.
+    /// Reads updates from a position, waiting for the first update for at most `wait` and returning
+    /// at most [`Feed::max_page_kib`]; returns `None` when updates after the position are no longer
+    /// retained.
     ///
     /// # Errors
     ///
@@ -234,18 +250,24 @@
     // A response without updates was given at the end of the wait.
     let known_at = if has_updates { started } else { started + wait };
     let known_at = known_at.min(Instant::now());
+    let is_behind = feed == Feed::Orders && read.has_more;
     let page =
         (role == ListRole::Reader).then(|| EndpointPage::new(node, position, &read, known_at));
     for update in read.updates {
         apply_update(node, update);
     }
-    let next = Position {
+    let mut next = Some(Position {
         offset: read.next_position,
         era,
-    };
-    if feed == Feed::Endpoints {
+    });
+    if let (Feed::Endpoints, Some(next)) = (feed, next) {
         node.list.lock().advance(next, known_at);
     }
+    if is_behind {
+        // A snapshot holds the newest order of each kind, which replaces those before it.
+        tracing::info!(event = "orders_skipped", from);
+        next = read_snapshot(client, node, feed).await?;
+    }
     if let Some(page) = page {
         pass_on(node, &page).await;
     }
@@ -256,7 +278,7 @@
         };
         tokio::time::sleep(delay).await;
     }
-    Ok(Some(next))
+    Ok(next)
 }
 
 /// Reads the current content of the feed; returns the next position, or `None` to read it again
--- a/entry/tests/test_feed.rs
+++ b/entry/tests/test_feed.rs
@@ -108,6 +108,7 @@
     Updates {
         updates,
         next_position,
+        has_more: false,
     }
 }
 
--- a/entry/tests/test_relay.rs
+++ b/entry/tests/test_relay.rs
@@ -44,6 +44,7 @@
         Ok(Updates {
             updates: Vec::new(),
             next_position: 10,
+            has_more: false,
         })
     }
 
@@ -58,6 +59,7 @@
         Ok(Some(Updates {
             updates: Vec::new(),
             next_position: from,
+            has_more: false,
         }))
     }
 
