rollouts: requests go to no endpoint that stops at the end of a cutover

Requests were sent to endpoints of the old versions after a rollout was completed, or so shortly before that the lease holder could not know of them. The operator stops these endpoints at once, without draining, so the requests were cut.

Cause: whenever the new version was full, `VersionPlan::TargetFirst` fell back to the old versions. The holder completes a cutover when it sees no request on them that cannot be sent again, but loads reach it only after a propagation time, and it did not count requests of retryable routes that had no attempt left.

After completion, and for a last send that the holder would not know of before the cutover may complete, the new plan `TargetIfAny` waits for the new version while it is full, and the request is then refused with Retry-After like any other at a full service. If no endpoint of the new version is left to try, it goes to the old ones: they may still serve, and the alternative is a sure failure. Last sends now count as requests that cannot be sent again.

Before: `test_rollout_endpoints_that_stop_get_no_request` sent requests to "e0" and "e1" (cases completed and end_of_cutover; last_send was added with the change and not run without it), and `test_rollout_completion_waits_for_last_sends::case_2_only_one` counted "left: 0 right: 1".

Changed test: `test_rollout_plans_the_version_of_a_request` expects `TargetIfAny` for a completed rollout, which is stricter, and passes the new argument.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::log_limit;
 use crate::prefill_time;
 use crate::reservation::Reservation;
+use crate::rollout_driver::propagation_time;
 use crate::send_outcome::notice_of;
 use crate::send_outcome::outcome_name;
 use crate::send_outcome::record_send_failure;
@@ -235,9 +236,13 @@
     ) -> Result<Reservation, Choice> {
         let is_retry = self.sends > 0;
         let split_point = (!is_retry).then_some(self.split_point);
-        let end_ms = node.synchronized_millis() + crate::millis(self.expected_duration(node));
+        let now_ms = node.synchronized_millis();
+        let end_ms = now_ms + crate::millis(self.expected_duration(node));
+        let known_ms = self
+            .is_last_send()
+            .then(|| now_ms + crate::millis(propagation_time(node.entry_count())));
         let rollouts = node.rollouts.lock();
-        let plan = rollouts.version_plan(&self.service, split_point, end_ms);
+        let plan = rollouts.version_plan(&self.service, split_point, end_ms, known_ms);
         drop(rollouts);
         match &plan {
             VersionPlan::Unrestricted => self.reserve_among(node, VersionFilter::Any, now),
@@ -247,6 +252,13 @@
             VersionPlan::TargetFirst(target) => self
                 .reserve_among(node, VersionFilter::Only(target), now)
                 .or_else(|_| self.reserve_among(node, VersionFilter::Without(target), now)),
+            VersionPlan::TargetIfAny(target) => {
+                let new = self.reserve_among(node, VersionFilter::Only(target), now);
+                if matches!(new, Err(Choice::NoEndpoint)) {
+                    return self.reserve_among(node, VersionFilter::Without(target), now);
+                }
+                new
+            }
             VersionPlan::OldFirst(target) => {
                 let old = self.reserve_among(node, VersionFilter::Without(target), now);
                 if matches!(old, Err(Choice::NoEndpoint))
@@ -259,6 +271,12 @@
         }
     }
 
+    /// Returns whether the request cannot be sent again after the next send.
+    fn is_last_send(&self) -> bool {
+        let route = &self.request.route;
+        !route.kind.is_retryable() || self.sends + 1 >= route.attempts
+    }
+
     /// Returns a duration within which the request most likely ends.
     fn expected_duration(&self, node: &Node) -> Duration {
         let tokens = self.request.call.prompt.as_ref().map(|p| p.max_output);
@@ -299,7 +317,7 @@
         let occupancy = Occupancy {
             tokens,
             prefill,
-            non_retryable: !request.route.kind.is_retryable(),
+            non_retryable: self.is_last_send(),
         };
         endpoint.load.begin(occupancy, now);
         if let Some(prompt) = &request.call.prompt {
--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -18,6 +18,7 @@
 use crate::StoreEra;
 use crate::VersionName;
 use crate::VersionSide;
+use crate::rollout_plan::EARLY_COMPLETION_TOLERANCE;
 
 /// Share that stands for all requests of a service, in thousandths.
 pub const FULL_SHARE_PERMILLE: u32 = 1000;
@@ -79,6 +80,16 @@
     pub idle_ms: Option<u64>,
 }
 
+impl Stage {
+    /// Returns whether a cutover may complete before a synchronized time, in milliseconds since the
+    /// Unix epoch; the old versions then stop in the middle of requests of which the lease holder
+    /// does not know.
+    fn may_complete_by(&self, time_ms: u64) -> bool {
+        let tolerance = crate::millis(EARLY_COMPLETION_TOLERANCE);
+        self.idle_ms.is_some_and(|idle| time_ms + tolerance >= idle)
+    }
+}
+
 /// Rollout order with its newest known stage.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Rollout {
@@ -128,6 +139,9 @@
     Unrestricted,
     /// The new version first, then the old ones.
     TargetFirst(VersionName),
+    /// The new version; the old ones only if no endpoint of the new version is left to try, but not
+    /// if these are full.
+    TargetIfAny(VersionName),
     /// The old versions; the new one only if no endpoint of an old version accepts requests.
     OldFirst(VersionName),
     /// Only the old versions.
@@ -256,12 +270,14 @@
     /// `split_point` is the random position of the request on the scale of shares, below
     /// [`FULL_SHARE_PERMILLE`], or `None` for a retry, which is not used to try the new version.
     /// `end_ms` is the synchronized time by which the request is expected to end, in milliseconds
-    /// since the Unix epoch.
+    /// since the Unix epoch. `known_ms` is the time, likewise, by which the lease holder knows of a
+    /// request that cannot be sent again if it is cut, or `None` for any other.
     pub fn version_plan(
         &self,
         service: &ServiceName,
         split_point: Option<u32>,
         end_ms: u64,
+        known_ms: Option<u64>,
     ) -> VersionPlan {
         let Some(rollout) = self.services.get(service) else {
             return VersionPlan::Unrestricted;
@@ -272,11 +288,13 @@
         };
         match stage.state {
             RolloutState::RolledBack => VersionPlan::OldOnly(target),
-            RolloutState::Completed => VersionPlan::TargetFirst(target),
+            RolloutState::Completed => VersionPlan::TargetIfAny(target),
             RolloutState::InProgress => {
                 let is_sampled = split_point.is_some_and(|point| point < stage.share);
                 let ends_too_late = stage.idle_ms.is_some_and(|idle| end_ms >= idle);
-                if is_sampled || ends_too_late {
+                if ends_too_late && known_ms.is_some_and(|known| stage.may_complete_by(known)) {
+                    VersionPlan::TargetIfAny(target)
+                } else if is_sampled || ends_too_late {
                     VersionPlan::TargetFirst(target)
                 } else {
                     VersionPlan::OldFirst(target)
--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -29,8 +29,9 @@
 /// Minimum window over which the recent request rate is measured.
 const MIN_RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Number of refresh intervals within which a stage reaches all entries.
-const STAGE_PROPAGATION_REFRESHES: u32 = 2;
+/// Number of refresh intervals within which a stage, or the load of an endpoint, reaches all
+/// entries.
+const PROPAGATION_REFRESHES: u32 = 2;
 
 /// Status of a rollout as published to the operator.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -167,7 +168,7 @@
         let view = RolloutView {
             stage: rollout.stage,
             stage_age: now.duration_since(tracker.stage_since),
-            propagation_time: refresh_interval(node.entry_count()) * STAGE_PROPAGATION_REFRESHES,
+            propagation_time: propagation_time(node.entry_count()),
             now_ms,
             elapsed,
             within: rollout.order.within,
@@ -257,6 +258,11 @@
     }
 }
 
+/// Returns the time within which a stage, or the load of an endpoint, reaches all entries.
+pub(crate) fn propagation_time(entries: usize) -> Duration {
+    refresh_interval(entries) * PROPAGATION_REFRESHES
+}
+
 /// Logs what is known of both sides of a rollout, by route.
 fn log_evidence(service: &ServiceName, evidence: &RolloutEvidence) {
     for (route, sides) in &evidence.routes {
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -46,7 +46,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(650);
 
 /// Time by which a cutover may complete before its planned end.
-const EARLY_COMPLETION_TOLERANCE: Duration = Duration::from_millis(300);
+pub(crate) const EARLY_COMPLETION_TOLERANCE: Duration = Duration::from_millis(300);
 
 /// Time before the deadline from which a rollout no longer waits for requests on old versions that
 /// can continue at another endpoint.
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -9,6 +9,7 @@
 
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Choice;
+use hawthornrack_entry::Config;
 use hawthornrack_entry::DomainName;
 use hawthornrack_entry::DurationEstimator;
 use hawthornrack_entry::EndpointId;
@@ -110,7 +111,7 @@
 #[case::not_sampled(Some(stage(RolloutState::InProgress, 1, 30)), Some(30), 0, VersionPlan::OldFirst("v2".into()))]
 #[case::retry(Some(stage(RolloutState::InProgress, 1, 30)), None, 0, VersionPlan::OldFirst("v2".into()))]
 #[case::rolled_back(Some(stage(RolloutState::RolledBack, 2, 0)), Some(0), 0, VersionPlan::OldOnly("v2".into()))]
-#[case::completed(Some(stage(RolloutState::Completed, 2, 1000)), None, 0, VersionPlan::TargetFirst("v2".into()))]
+#[case::completed(Some(stage(RolloutState::Completed, 2, 1000)), None, 0, VersionPlan::TargetIfAny("v2".into()))]
 #[case::ends_in_time(Some(Stage { idle_ms: Some(500), ..stage(RolloutState::InProgress, 2, 0) }), Some(0), 499, VersionPlan::OldFirst("v2".into()))]
 #[case::ends_too_late(Some(Stage { idle_ms: Some(500), ..stage(RolloutState::InProgress, 2, 0) }), None, 500, VersionPlan::TargetFirst("v2".into()))]
 fn test_rollout_plans_the_version_of_a_request(
@@ -121,14 +122,25 @@
 ) {
     let mut rollouts = Rollouts::default();
     rollouts.merge(&rollout(4, stage));
-    assert_eq!(rollouts.version_plan(&desk(), split_point, end_ms), plan);
+    assert_eq!(
+        rollouts.version_plan(&desk(), split_point, end_ms, None),
+        plan
+    );
     let other = ServiceName::from("other");
     assert_eq!(
-        rollouts.version_plan(&other, split_point, end_ms),
+        rollouts.version_plan(&other, split_point, end_ms, None),
         VersionPlan::Unrestricted
     );
 }
 
+/// Returns a configuration of version 2 whose route allows a number of sends.
+fn config_with_attempts(kind: RouteKind, attempts: u32) -> Config {
+    let mut config = config(kind);
+    config.version = 2;
+    config.routes["h"][0].attempts = attempts;
+    config
+}
+
 /// Creates an entry with two endpoints each of the versions `v1` and `v2`.
 async fn node_with_both_versions(stage: Option<Stage>) -> Arc<Node> {
     let node = node(config(RouteKind::Idempotent), 2);
@@ -163,6 +175,59 @@
     assert!(seen.iter().all(|s| s.endpoint.starts_with('e')), "{seen:?}");
 }
 
+// The endpoints of the old versions stop when a rollout is completed. Requests that found the new
+// version full were sent to them all the same, and cut; so were requests that may run only once and
+// were sent so shortly before the end of a cutover that the lease holder could not know of them.
+#[rstest]
+#[case::completed(RouteKind::Idempotent, 2, RolloutState::Completed, None)]
+#[case::end_of_cutover(RouteKind::Once, 2, RolloutState::InProgress, Some(100))]
+#[case::last_send(RouteKind::Idempotent, 1, RolloutState::InProgress, Some(100))]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_endpoints_that_stop_get_no_request(
+    #[case] kind: RouteKind,
+    #[case] attempts: u32,
+    #[case] state: RolloutState,
+    #[case] idle_after_ms: Option<u64>,
+) {
+    let node = node_with_both_versions(None).await;
+    node.apply_config(config_with_attempts(kind, attempts), "test");
+    let last = Stage {
+        idle_ms: idle_after_ms.map(|ms| node.synchronized_millis() + ms),
+        ..stage(state, 2, 0)
+    };
+    node.rollouts.lock().merge(&rollout(4, Some(last)));
+    let client = ScriptedClient::new(vec![ScriptedSend::Hang; 80]);
+    let ids: Vec<String> = (0..40).map(|number| number.to_string()).collect();
+    let requests = ids.iter().map(|id| serve(&node, &client, call(id)));
+    let responses = futures_util::future::join_all(requests).await;
+    let seen = client.seen.lock();
+    assert!(seen.len() >= 8, "{responses:?}");
+    assert!(seen.iter().all(|s| s.endpoint.starts_with('n')), "{seen:?}");
+}
+
+// The end of a cutover waits for requests that cannot be sent again, but not for those that might
+// have been and had no attempt left.
+#[rstest]
+#[case::first_of_two(2, 0)]
+#[case::only_one(1, 1)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_completion_waits_for_last_sends(
+    #[case] attempts: u32,
+    #[case] expected: u32,
+) {
+    let node = node_with_both_versions(None).await;
+    node.apply_config(
+        config_with_attempts(RouteKind::Idempotent, attempts),
+        "test",
+    );
+    let client = ScriptedClient::new([ScriptedSend::Hang]);
+    let mut request = Box::pin(serve(&node, &client, call("1")));
+    assert!(futures_util::poll!(&mut request).is_pending());
+    let endpoints = node.endpoints.lock();
+    let counts = endpoints.iter().map(|(_, e)| e.load.own_non_retryable());
+    assert_eq!(counts.sum::<u32>(), expected);
+}
+
 // Guards against a fallback to a version that was rolled back when all endpoints of the old version
 // are leaving: the request is refused instead.
 #[tokio::test(start_paused = true)]
@@ -451,7 +516,7 @@
         let split_point = Some(self.rng.random_range(0..1000));
         let end_ms = self.now_ms + (self.mean_duration_ms * 1.8) as u64;
         self.sent += 1;
-        match rollouts.version_plan(&desk(), split_point, end_ms) {
+        match rollouts.version_plan(&desk(), split_point, end_ms, None) {
             VersionPlan::TargetFirst(_) => self.exposed += 1,
             _ => self.old_request_ends_ms.push(self.now_ms + took),
         }
