rollouts: a cutover does not complete while the new version has no endpoint

A cutover whose new version lost all its endpoints was completed at its planned end.

The cutover is now postponed as it is for a version in doubt. Meanwhile requests use the old versions, since no endpoint of the new one accepts any.

Found by reading. Before: `test_rollout_without_endpoints_of_the_new_version_waits`, extended by a stage in its cutover, failed with "left: Completed right: InProgress".

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -192,6 +192,10 @@
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
+        if view.is_complete(idle_ms) && view.target_endpoints == 0 {
+            // The old versions serve until the new one can.
+            return next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
+        }
         if view.is_complete(idle_ms) && view.is_in_doubt {
             // The old versions serve until the requests on the new one have shown what it is.
             return if view.elapsed > view.within + MAX_DOUBT {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -639,18 +639,28 @@
     assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::RolledBack);
 }
 
-// Guards against a cutover to a version without endpoints, also after the deadline.
+// Guards against a cutover to a version without endpoints, also after the deadline, and against the
+// end of a cutover during which all of them have left: the old ones stop when it is completed.
 #[test]
 fn test_rollout_without_endpoints_of_the_new_version_waits() {
     let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
     let begun = stage(RolloutState::InProgress, 0, 0);
-    let view = RolloutView {
+    let mut view = RolloutView {
         stage: Some(begun),
         elapsed: Duration::from_secs(20),
         target_endpoints: 0,
         ..simulation.view()
     };
     assert_eq!(next_stage(&view, BOUNDS), begun);
+    view.now_ms = START_MS + 20_000;
+    view.stage_age = Duration::from_secs(6);
+    view.stage = Some(Stage {
+        idle_ms: Some(view.now_ms - 100),
+        ..begun
+    });
+    let next = next_stage(&view, BOUNDS);
+    assert_eq!(next.state, RolloutState::InProgress);
+    assert!(next.idle_ms > Some(view.now_ms), "{next:?}");
 }
 
 // Guards against a new lease holder that sends all requests to the new version at once because it
