endpoints: what a peer saw leave has no grace period after an outage

After an outage of the list an entry keeps endpoints that are missing from it for up to 1.2 s, as their records may be written again. It did so also when a peer without an outage had seen the record removed, so requests went to an endpoint that was known to have left.

Cause: a removal learnt from a peer was ignored for an endpoint in its grace period. Only removals seen without a grace period are sent to peers, so such a report is certain; it now ends the period.

Without such a report the grace period stays: it is at most 1.2 s from the read that shows the removal, within the 2 s for which an endpoint that leaves still serves, and an endpoint that was dropped at once would be lost capacity until its record returns.

Before: `test_endpoints_missing_after_an_outage_are_gone_when_a_peer_saw_them_leave` failed at `assert!(table.mark_removed(&removed, now))`.

--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -282,15 +282,17 @@
             .collect()
     }
 
-    /// Marks an endpoint as removed because a peer observed its removal from the list.
+    /// Marks an endpoint as removed because a peer without a list outage observed its removal from
+    /// the list; this ends a grace period.
     ///
-    /// Returns `false` if the endpoint is unknown, already marked, or has a newer record.
+    /// Returns `false` if the endpoint is unknown, already counts as removed, or has a newer record.
     pub fn mark_removed(&mut self, removed: &RemovedEndpoint, now: Instant) -> bool {
         let Some(endpoint) = self.by_id_mut(&removed.id) else {
             return false;
         };
         let revision = (endpoint.record.incarnation, endpoint.record.sequence);
-        if endpoint.removed_at.is_some() || revision > (removed.incarnation, removed.sequence) {
+        let is_removed = endpoint.removed_at.is_some_and(|at| now >= at);
+        if is_removed || revision > (removed.incarnation, removed.sequence) {
             return false;
         }
         endpoint.removed_at = Some(now);
--- a/entry/tests/test_endpoints.rs
+++ b/entry/tests/test_endpoints.rs
@@ -7,6 +7,7 @@
 use hawthornrack_entry::EndpointId;
 use hawthornrack_entry::EndpointState;
 use hawthornrack_entry::EndpointTable;
+use hawthornrack_entry::RemovedEndpoint;
 use hawthornrack_entry::ServiceName;
 use hawthornrack_entry::TableChange;
 use testutils::endpoint;
@@ -63,6 +64,24 @@
     assert_eq!(candidate_count(&table), 1);
 }
 
+// The grace period after an outage is for endpoints that may return. One that a peer without an
+// outage saw leave was used until the end of the grace period.
+#[tokio::test(start_paused = true)]
+async fn test_endpoints_missing_after_an_outage_are_gone_when_a_peer_saw_them_leave() {
+    let mut table = new_table();
+    let now = Instant::now();
+    table.record_failed_read(now);
+    let removed = RemovedEndpoint {
+        id: EndpointId::from("a"),
+        incarnation: 1,
+        sequence: 1,
+    };
+    table.remove(&removed.id, now);
+    assert!(table.mark_removed(&removed, now));
+    assert_eq!(candidate_count(&table), 1);
+    assert!(!table.mark_removed(&removed, now), "already marked");
+}
+
 // Records may arrive out of order: an older `ready` record must not undo draining.
 #[tokio::test(start_paused = true)]
 async fn test_endpoints_draining_ignore_an_older_record() {
