attempts: a request that cannot end in time is not sent again

A request that failed late was sent to another endpoint with as little as 40 ms left, however long its route takes. Its caller was told nothing until the deadline, the endpoint worked in vain, and a retry was taken from the budget.

A retry now needs a lower bound of the measured durations of its route (the mean less 1.5 mean deviations, at least 40 ms). Without measurements, and for the rest of a stream, whose length is unknown, the 40 ms stay. The refusal is 502 if the request may have run, otherwise 503.

Before: `test_serve_retries_only_what_can_end_before_its_deadline::case_1_hopeless` failed with "left: (504, 2) right: (502, 1)": a second send, and no response until the deadline.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -429,7 +429,8 @@
     pub(crate) fn take_retry(&self, node: &Node) -> bool {
         let now = Instant::now();
         let left = self.request.deadline.saturating_duration_since(now);
-        let allowed = self.sends < self.request.route.attempts && left > MIN_SEND_TIME * 2;
+        let needed = self.shortest_duration(node).max(MIN_SEND_TIME * 2);
+        let allowed = self.sends < self.request.route.attempts && left > needed;
         if !allowed
             || !self.fits_shutdown(node)
             || node.is_crashing(self.request.fingerprint, &self.request.call)
@@ -440,6 +441,19 @@
         node.retries.lock().try_take(&self.service, entries, now)
     }
 
+    /// Returns a duration that the request takes at least; zero for the rest of a stream, whose
+    /// length is unknown.
+    fn shortest_duration(&self, node: &Node) -> Duration {
+        if self.last_event.is_some() {
+            return Duration::ZERO;
+        }
+        let tokens = self.request.call.prompt.as_ref().map(|p| p.max_output);
+        let route = &self.request.route.name;
+        let durations = node.durations.lock();
+        let estimator = durations.get(&self.service);
+        estimator.map_or(Duration::ZERO, |e| e.lower_bound(route, tokens))
+    }
+
     /// Returns whether another send is expected to end before a shutdown in progress does.
     fn fits_shutdown(&self, node: &Node) -> bool {
         let request = &self.request;
--- a/entry/src/duration_estimator.rs
+++ b/entry/src/duration_estimator.rs
@@ -7,8 +7,8 @@
 /// Weight of the newest request in the exponential moving averages.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
-/// Number of mean deviations above the mean that bounds the duration of most requests.
-const UPPER_BOUND_DEVIATIONS: f64 = 1.5;
+/// Number of mean deviations above and below the mean that bound the duration of most requests.
+const BOUND_DEVIATIONS: f64 = 1.5;
 
 /// Duration assumed for a route without measurements.
 const DEFAULT_DURATION: Duration = Duration::from_secs(3);
@@ -32,7 +32,11 @@
     }
 
     fn upper(self) -> f64 {
-        self.mean + UPPER_BOUND_DEVIATIONS * self.deviation
+        self.mean + BOUND_DEVIATIONS * self.deviation
+    }
+
+    fn lower(self) -> f64 {
+        (self.mean - BOUND_DEVIATIONS * self.deviation).max(0.0)
     }
 }
 
@@ -54,9 +58,17 @@
     }
 
     fn upper_bound(&self, tokens: Option<u32>) -> Option<Duration> {
+        self.bound(tokens, Estimate::upper)
+    }
+
+    fn lower_bound(&self, tokens: Option<u32>) -> Option<Duration> {
+        self.bound(tokens, Estimate::lower)
+    }
+
+    fn bound(&self, tokens: Option<u32>, of: fn(Estimate) -> f64) -> Option<Duration> {
         let ms = match tokens {
-            Some(tokens) => self.per_token?.upper() * f64::from(tokens.max(1)),
-            None => self.unsized_request?.upper(),
+            Some(tokens) => of(self.per_token?) * f64::from(tokens.max(1)),
+            None => of(self.unsized_request?),
         };
         Duration::try_from_secs_f64(ms / 1000.0).ok()
     }
@@ -99,4 +111,12 @@
             .and_then(|e| e.upper_bound(tokens))
             .unwrap_or(DEFAULT_DURATION)
     }
+
+    /// Returns the time that most requests of this kind take at least; zero without measurements.
+    pub fn lower_bound(&self, route: &str, tokens: Option<u32>) -> Duration {
+        let estimator = self.routes.get(route);
+        estimator
+            .and_then(|e| e.lower_bound(tokens))
+            .unwrap_or_default()
+    }
 }
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornrack_entry::Call;
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::Config;
 use hawthornrack_entry::EndpointNotice;
@@ -134,6 +135,44 @@
     );
 }
 
+// A request that had failed was sent again although no response could come before its deadline: its
+// caller was told nothing until then, and the endpoint worked in vain.
+#[rstest]
+#[case::hopeless(700, 502, 1)]
+#[case::in_time(2_000, 200, 2)]
+#[tokio::test(start_paused = true)]
+async fn test_serve_retries_only_what_can_end_before_its_deadline(
+    #[case] timeout_ms: u64,
+    #[case] expected: u16,
+    #[case] sends: usize,
+) {
+    let mut config = config(RouteKind::Idempotent);
+    config.routes["h"][0].objective = Duration::from_secs(1);
+    let node = node(config, 4);
+    let slow = ScriptedSend::RespondAfter(200, Duration::from_millis(500));
+    let client = ScriptedClient::new(vec![slow.clone(); 60]);
+    for _ in 0..60 {
+        assert_eq!(response_status(&node, &client).await, 200);
+    }
+    let fails = ScriptedSend::FailAfter(
+        SendFailure::MayHaveRun(Interruption::ConnectionBroken("reset".to_owned())),
+        Duration::from_millis(400),
+    );
+    let client = ScriptedClient::new([fails, slow]);
+    let call = Call {
+        timeout: Some(Duration::from_millis(timeout_ms)),
+        ..call("1")
+    };
+    let started = Instant::now();
+    let status = match serve(&node, &client, call).await {
+        CallerResponse::Whole { status, .. } => status,
+        CallerResponse::Refused(refusal) => refusal.kind.status(),
+        CallerResponse::Stream { .. } => panic!("a stream"),
+    };
+    assert_eq!((status, client.seen.lock().len()), (expected, sends));
+    assert!(sends == 2 || started.elapsed() < Duration::from_millis(500));
+}
+
 // Requests that the configuration does not allow must be refused with the matching reason and never
 // reach an endpoint.
 #[rstest]
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -160,6 +160,8 @@
 pub enum ScriptedSend {
     /// Returns a complete response with this status.
     Respond(u16),
+    /// Returns a complete response with this status after a delay.
+    RespondAfter(u16, Duration),
     /// Returns a complete response with this status and notice.
     Notify(u16, EndpointNotice),
     /// Streams chunks, then ends cleanly or with an error.
@@ -174,6 +176,8 @@
     Drip(&'static str, &'static str, Duration),
     /// Fails with this error.
     Fail(SendFailure),
+    /// Fails with this error after a delay.
+    FailAfter(SendFailure, Duration),
     /// Never responds.
     Hang,
 }
@@ -281,6 +285,9 @@
             .lock()
             .pop_front()
             .expect("more sends than scripted outcomes");
+        if let ScriptedSend::RespondAfter(_, delay) | ScriptedSend::FailAfter(_, delay) = &step {
+            tokio::time::sleep(*delay).await;
+        }
         let states_end = !matches!(step, ScriptedSend::Unframed(_));
         let stream = |chunks: Vec<&'static str>, end, drip, delayed| {
             ResponseBody::Stream(ScriptedBody {
@@ -299,7 +306,9 @@
             _ => EndpointNotice::default(),
         };
         let (status, body) = match step {
-            ScriptedSend::Respond(status) | ScriptedSend::Notify(status, _) => (status, whole()),
+            ScriptedSend::Respond(status)
+            | ScriptedSend::RespondAfter(status, _)
+            | ScriptedSend::Notify(status, _) => (status, whole()),
             ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None, None)),
             ScriptedSend::Unframed(chunks) => (200, stream(chunks, Some(Ok(())), None, None)),
             ScriptedSend::Stall(chunks) => (200, stream(chunks, None, None, None)),
@@ -311,7 +320,9 @@
                 200,
                 stream(vec![first], Some(Ok(())), None, Some((chunk, delay))),
             ),
-            ScriptedSend::Fail(failure) => return Err(failure),
+            ScriptedSend::Fail(failure) | ScriptedSend::FailAfter(failure, _) => {
+                return Err(failure);
+            }
             ScriptedSend::Hang => std::future::pending().await,
         };
         Ok(EndpointResponse {
