shutdown: streams over HTTP/1.0 that the end of the process cuts are reset

A caller that uses HTTP/1.0 took a stream for complete that the end of a graceful shutdown had cut: HTTP/1.0 has no chunks, and the process closed the connection in the orderly way that ends a complete body. HTTP/1.1 streams have chunks, whose last one was missing.

Cause: only a stream that broke while the entry ran reset its connection. The sockets that were still open were closed when the process ended.

The last step of a shutdown now tells the connections that are still open, and those over HTTP/1.0 are reset. A process that is killed by SIGKILL cannot do so.

Tests: `test_shutdown_resets_http10_streams_that_it_cuts` failed before with "the end of a complete response: 3957". `test_shutdown_during_start_up_is_graceful` (SIGTERM 5, 20 and 40 ms after the start of the process) passed before and now: no fault was found there.

--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -3,7 +3,8 @@
 //!
 //! Its signals, in the order in which they are given: [`Node::stopping`] (the directory names other
 //! entries, responses close their connections), [`CallerConnections::close_idle`],
-//! [`CallerConnections::stop_accepting`], and `Node::ending` (requests without a response get one).
+//! [`CallerConnections::stop_accepting`], `Node::ending` (requests without a response get one), and
+//! [`CallerConnections::cut`] (what is still open ends with the process).
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -87,6 +88,8 @@
     pub close_idle: CancellationToken,
     /// Cancelled to stop accepting connections.
     pub stop_accepting: CancellationToken,
+    /// Cancelled to cut the connections that are still open when the process ends.
+    pub cut: CancellationToken,
     /// Tasks of open connections.
     pub tasks: TaskTracker,
 }
@@ -98,6 +101,15 @@
         tokio::time::sleep(CLOSE_DELAY).await;
     }
 
+    /// Cuts the connections that are still open, so that no response on them looks complete.
+    pub async fn cut_open(&self) {
+        self.cut.cancel();
+        let cut = tokio::time::timeout(CLOSE_DELAY, self.tasks.wait()).await;
+        if cut.is_err() {
+            tracing::debug!(event = "connections_open", count = self.tasks.len());
+        }
+    }
+
     /// Waits until a connection is to be closed as soon as it is idle.
     ///
     /// A connection without a request yet stays open longer: the request may be on its way.
