shutdown: open streams get the rest of the grace period

An entry that shuts down cut streams 0.4 s before its grace period ended. Shutdown stops waiting for requests 0.6 s before the end, to have time for its last duties; streams go on meanwhile, but the process exited as soon as the duties were done.

After the duties the process now waits for open connections until 0.1 s before the end, and exits earlier if there are none.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -205,6 +205,7 @@
 pub use serve::CallerResponse;
 pub use serve::serve;
 pub use shutdown::CallerConnections;
+pub use shutdown::end_connections;
 pub use shutdown::finish_duties;
 pub use shutdown::shut_down;
 pub use sliding_counter::SlidingCounter;
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -42,7 +42,7 @@
 /// responses and duties take place in it.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(600);
 
-/// Time before the end of the grace period at which the process exits.
+/// Time before the end of the grace period at which the process cuts what is still open and exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(100);
 
 /// Time for the final responses to requests that are still in progress when shutdown stops waiting.
@@ -101,15 +101,6 @@
         tokio::time::sleep(CLOSE_DELAY).await;
     }
 
-    /// Cuts the connections that are still open, so that no response on them looks complete.
-    pub async fn cut_open(&self) {
-        self.cut.cancel();
-        let cut = tokio::time::timeout(CLOSE_DELAY, self.tasks.wait()).await;
-        if cut.is_err() {
-            tracing::debug!(event = "connections_open", count = self.tasks.len());
-        }
-    }
-
     /// Waits until a connection is to be closed as soon as it is idle.
     ///
     /// A connection without a request yet stays open longer: the request may be on its way.
@@ -185,3 +176,21 @@
         tracing::warn!(event = "duties_unfinished", in_flight = node.in_flight());
     }
 }
+
+/// Waits for open connections until shortly before the grace period ends, then cuts them, so that no
+/// response on them looks complete.
+pub async fn end_connections(node: &Node, connections: &CallerConnections) {
+    let started = node.shutdown_started().unwrap_or_else(Instant::now);
+    let end = started + node.settings.grace.saturating_sub(EXIT_MARGIN);
+    if tokio::time::timeout_at(end, connections.tasks.wait())
+        .await
+        .is_ok()
+    {
+        return;
+    }
+    connections.cut.cancel();
+    let cut = tokio::time::timeout(CLOSE_DELAY, connections.tasks.wait()).await;
+    if cut.is_err() {
+        tracing::debug!(event = "connections_open", in_flight = node.in_flight());
+    }
+}
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -15,6 +15,8 @@
 use hawthornrack_entry::RefusalKind;
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::ServiceName;
+use hawthornrack_entry::end_connections;
+use hawthornrack_entry::finish_duties;
 use hawthornrack_entry::serve;
 use hawthornrack_entry::shut_down;
 use opentelemetry::metrics::MeterProvider;
@@ -252,3 +254,31 @@
     assert!(events.next().await.is_err());
     assert_eq!(client.seen.lock().len(), 1);
 }
+
+// The process ended as soon as its last duties were done, and cut streams that would have ended
+// within the rest of the grace period.
+#[rstest]
+#[case::ends_in_time(7_700, true)]
+#[case::outlasts_the_grace_period(8_500, false)]
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_uses_the_grace_period_for_open_streams(
+    #[case] duration_ms: u64,
+    #[case] is_complete: bool,
+) {
+    let node = stream_node();
+    let connections = CallerConnections::default();
+    let start = Instant::now();
+    let end = start + Duration::from_millis(duration_ms);
+    let cut = connections.cut.clone();
+    let stream = connections.tasks.spawn(async move {
+        tokio::select! {
+            () = tokio::time::sleep_until(end) => true,
+            () = cut.cancelled() => false,
+        }
+    });
+    shut_down(&node, &connections).await;
+    finish_duties(&node, tokio::spawn(async {})).await;
+    end_connections(&node, &connections).await;
+    assert!(start.elapsed() < node.settings.grace);
+    assert_eq!(stream.await.unwrap(), is_complete);
+}
