--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -46,7 +46,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(650);
 
 /// Time by which a cutover may complete before its planned end.
-const EARLY_COMPLETION_TOLERANCE: Duration = Duration::from_millis(300);
+pub(crate) const EARLY_COMPLETION_TOLERANCE: Duration = Duration::from_millis(300);
 
 /// Time before the deadline from which a rollout no longer waits for requests on old versions that
 /// can continue at another endpoint.
@@ -192,6 +192,10 @@
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
+        if view.is_complete(idle_ms) && view.target_endpoints == 0 {
+            // The old versions serve until the new one can.
+            return next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
+        }
         if view.is_complete(idle_ms) && view.is_in_doubt {
             // The old versions serve until the requests on the new one have shown what it is.
             return if view.elapsed > view.within + MAX_DOUBT {
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -3,7 +3,8 @@
 //!
 //! Its signals, in the order in which they are given: [`Node::stopping`] (the directory names other
 //! entries, responses close their connections), [`CallerConnections::close_idle`],
-//! [`CallerConnections::stop_accepting`], and `Node::ending` (requests without a response get one).
+//! [`CallerConnections::stop_accepting`], `Node::ending` (requests without a response get one), and
+//! [`CallerConnections::cut`] (what is still open ends with the process).
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -41,7 +42,7 @@
 /// responses and duties take place in it.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(600);
 
-/// Time before the end of the grace period at which the process exits.
+/// Time before the end of the grace period at which the process cuts what is still open and exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(100);
 
 /// Time for the final responses to requests that are still in progress when shutdown stops waiting.
@@ -87,6 +88,8 @@
     pub close_idle: CancellationToken,
     /// Cancelled to stop accepting connections.
     pub stop_accepting: CancellationToken,
+    /// Cancelled to cut the connections that are still open when the process ends.
+    pub cut: CancellationToken,
     /// Tasks of open connections.
     pub tasks: TaskTracker,
 }
@@ -173,3 +176,21 @@
         tracing::warn!(event = "duties_unfinished", in_flight = node.in_flight());
     }
 }
+
+/// Waits for open connections until shortly before the grace period ends, then cuts them, so that no
+/// response on them looks complete.
+pub async fn end_connections(node: &Node, connections: &CallerConnections) {
+    let started = node.shutdown_started().unwrap_or_else(Instant::now);
+    let end = started + node.settings.grace.saturating_sub(EXIT_MARGIN);
+    if tokio::time::timeout_at(end, connections.tasks.wait())
+        .await
+        .is_ok()
+    {
+        return;
+    }
+    connections.cut.cancel();
+    let cut = tokio::time::timeout(CLOSE_DELAY, connections.tasks.wait()).await;
+    if cut.is_err() {
+        tracing::debug!(event = "connections_open", in_flight = node.in_flight());
+    }
+}
