rollouts: a version of which nothing is known is not completed

The deadline was short, so the cutover began without a trial share, and the new version would have got its first requests about 30 ms before the planned end of the cutover. The old versions happened to be idle up to 300 ms before it, which allows an early completion. Missing evidence was taken for good evidence.

Now a version is completed once at least six of its requests have ended or, at low rates, as many as arrive in a second; none if the service is hardly used. Until then the cutover goes on: from its planned end, all requests go to the new version, so outcomes come quickly. If they do not come, it is rolled back. A cutover that begins without a trial share gets one, taken from what the cutover leaves of the exposure allowance, so that a good version is still completed in time.

--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -354,6 +354,12 @@
         (old + target, target)
     }
 
+    /// Returns the number of responses and failures of the new version.
+    pub(crate) fn target_outcomes(&self) -> u64 {
+        let targets = self.routes.values().map(|t| &t.target);
+        targets.map(|t| t.answered + t.failed).sum()
+    }
+
     /// Returns the regression of the new version, if any.
     ///
     /// Looks at each route and at all routes together, both since the start and since the snapshot
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -27,6 +27,9 @@
 /// Maximum share of the new version before the cutover, in thousandths.
 const MAX_TRIAL_SHARE_PERMILLE: u32 = 100;
 
+/// Maximum share of the new version, in thousandths, if the trial only begins with the cutover.
+const MAX_LATE_TRIAL_SHARE_PERMILLE: u32 = 250;
+
 /// Minimum share of the new version in a trial stage, in thousandths.
 const MIN_TRIAL_SHARE_PERMILLE: u32 = 5;
 
@@ -56,7 +59,16 @@
 /// versions.
 const MAX_DRAIN_OVERRUN: Duration = Duration::from_secs(10);
 
+/// Number of outcomes of requests on the new version that suffice for its completion.
+const MIN_KNOWN_OUTCOMES: u64 = 6;
+
+/// Time whose requests suffice for a completion if they are fewer than [`MIN_KNOWN_OUTCOMES`].
+const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
+
 /// Time after the deadline from which a version that is still in doubt is rolled back.
+///
+/// A version of which too little is known is rolled back this time and the duration of a request
+/// after the planned end of the cutover.
 const MAX_DOUBT: Duration = Duration::from_secs(20);
 
 /// Limit on the requests that a bad version may get: `share` of all requests plus `slack`.
@@ -87,6 +99,8 @@
     pub sent: u64,
     /// Number of those requests that were sent to the new version.
     pub exposed: u64,
+    /// Number of responses and failures of the new version.
+    pub target_outcomes: u64,
     /// Requests to the service per second.
     pub request_rate: f64,
     /// Number of endpoints of the new version that accept requests.
@@ -116,15 +130,19 @@
         (total * PLANNED_EXPOSURE_FRACTION - self.exposed as f64).max(0.0)
     }
 
+    /// Returns the number of requests that the new version gets while old ones end in a cutover.
+    fn cutover_requests(&self) -> f64 {
+        let span = (self.duration_bound + IDLE_MARGIN).min(self.time_left());
+        self.request_rate * span.as_secs_f64()
+    }
+
     /// Returns whether the allowance covers all requests expected until the deadline, or the
     /// deadline is near and the allowance covers the requests of a cutover.
     fn is_cutover_due(&self, bounds: ExposureBounds) -> bool {
         let allowance = self.allowance(bounds);
-        // During a cutover the new version gets the requests that arrive while old ones end.
-        let needed = self.request_rate * (self.duration_bound + IDLE_MARGIN).as_secs_f64();
         let time_left = self.time_left();
         let total = self.request_rate * time_left.as_secs_f64();
-        total <= allowance || (time_left <= CUTOVER_WINDOW && needed <= allowance)
+        total <= allowance || (time_left <= CUTOVER_WINDOW && self.cutover_requests() <= allowance)
     }
 
     /// Returns the synchronized time at which the old versions should be idle, in milliseconds
@@ -137,11 +155,32 @@
     }
 
     fn trial_share(&self, bounds: ExposureBounds) -> u32 {
+        self.share_of(self.trial_requests(bounds))
+            .min(MAX_TRIAL_SHARE_PERMILLE)
+    }
+
+    fn trial_requests(&self, bounds: ExposureBounds) -> f64 {
+        (self.allowance(bounds) * TRIAL_EXPOSURE_FRACTION).min(TRIAL_SAMPLE_SIZE)
+    }
+
+    /// Returns the trial share of a cutover that begins without one, which is taken from what the
+    /// cutover leaves of the allowance.
+    fn cutover_trial_share(&self, bounds: ExposureBounds) -> u32 {
+        let spare = (self.allowance(bounds) - self.cutover_requests()).max(0.0);
+        self.share_of(self.trial_requests(bounds).min(spare))
+            .min(MAX_LATE_TRIAL_SHARE_PERMILLE)
+    }
+
+    /// Returns the share that brings a number of trial requests until the deadline.
+    fn share_of(&self, trial_requests: f64) -> u32 {
         let expected = self.request_rate * self.time_left().as_secs_f64();
-        let trial_requests =
-            (self.allowance(bounds) * TRIAL_EXPOSURE_FRACTION).min(TRIAL_SAMPLE_SIZE);
         let share = trial_requests / expected.max(1.0) * f64::from(FULL_SHARE_PERMILLE);
-        (share as u32).clamp(MIN_TRIAL_SHARE_PERMILLE, MAX_TRIAL_SHARE_PERMILLE)
+        (share as u32).max(MIN_TRIAL_SHARE_PERMILLE)
+    }
+
+    /// Returns the time since the planned end of a cutover.
+    fn late(&self, idle_ms: u64) -> Duration {
+        Duration::from_millis(self.now_ms.saturating_sub(idle_ms))
     }
 
     fn is_complete(&self, idle_ms: u64) -> bool {
@@ -149,10 +188,16 @@
         if self.stage_age < self.propagation_time || self.now_ms < early_ms {
             return false;
         }
-        let late = Duration::from_millis(self.now_ms.saturating_sub(idle_ms));
         let can_skip_wait =
             self.time_left() <= RESUMABLE_WAIT_CUTOFF && self.old_non_retryable == 0;
-        self.old_running == 0 || can_skip_wait || late >= MAX_DRAIN_OVERRUN
+        self.old_running == 0 || can_skip_wait || self.late(idle_ms) >= MAX_DRAIN_OVERRUN
+    }
+
+    /// Returns whether enough is known of the new version: a few outcomes, or as many as the rate of
+    /// requests brings in a short time.
+    fn is_known(&self) -> bool {
+        let arriving = self.request_rate * EVIDENCE_WINDOW.as_secs_f64();
+        self.target_outcomes >= MIN_KNOWN_OUTCOMES.min(arriving as u64)
     }
 
     fn later_idle_ms(&self) -> u64 {
@@ -192,7 +237,12 @@
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
-        if view.is_complete(idle_ms) && view.is_in_doubt {
+        let is_complete = view.is_complete(idle_ms);
+        let is_sound = view.is_known() && !view.is_in_doubt;
+        if is_complete && is_sound {
+            return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
+        }
+        if is_complete && view.is_in_doubt {
             // The old versions serve until the requests on the new one have shown what it is.
             return if view.elapsed > view.within + MAX_DOUBT {
                 next(RolloutState::RolledBack, 0, None)
@@ -200,8 +250,8 @@
                 next(RolloutState::InProgress, 0, Some(view.later_idle_ms()))
             };
         }
-        if view.is_complete(idle_ms) {
-            return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
+        if is_complete && view.late(idle_ms) > view.duration_bound + MAX_DOUBT {
+            return next(RolloutState::RolledBack, 0, None);
         }
         let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
         return postponed_idle_ms.map_or(stage, |later_ms| {
@@ -212,9 +262,13 @@
         return stage;
     }
     if view.is_cutover_due(bounds) {
+        let share = match stage.share {
+            0 => view.cutover_trial_share(bounds),
+            trial => trial,
+        };
         return next(
             RolloutState::InProgress,
-            stage.share,
+            share,
             Some(view.idle_deadline_ms()),
         );
     }
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -393,6 +393,9 @@
     mean_duration_ms: f64,
     /// Times at which the requests running on the old version end.
     old_request_ends_ms: Vec<u64>,
+    /// Times at which the requests running on the new version end.
+    target_request_ends_ms: Vec<u64>,
+    target_outcomes: u64,
     sent: u64,
     exposed: u64,
 }
@@ -414,6 +417,8 @@
             requests_per_s,
             mean_duration_ms,
             old_request_ends_ms: Vec::new(),
+            target_request_ends_ms: Vec::new(),
+            target_outcomes: 0,
             sent: 0,
             exposed: 0,
         }
@@ -436,6 +441,9 @@
         }
         let now = self.now_ms;
         self.old_request_ends_ms.retain(|end| *end > now);
+        let running = self.target_request_ends_ms.len();
+        self.target_request_ends_ms.retain(|end| *end > now);
+        self.target_outcomes += (running - self.target_request_ends_ms.len()) as u64;
         let next = next_stage(&self.view(), BOUNDS);
         if self.decided_stage != Some(next) {
             self.decided_stage = Some(next);
@@ -452,7 +460,10 @@
         let end_ms = self.now_ms + (self.mean_duration_ms * 1.8) as u64;
         self.sent += 1;
         match rollouts.version_plan(&desk(), split_point, end_ms) {
-            VersionPlan::TargetFirst(_) => self.exposed += 1,
+            VersionPlan::TargetFirst(_) => {
+                self.exposed += 1;
+                self.target_request_ends_ms.push(self.now_ms + took);
+            }
             _ => self.old_request_ends_ms.push(self.now_ms + took),
         }
     }
@@ -467,6 +478,7 @@
             within: Duration::from_millis(self.within_ms),
             sent: self.sent,
             exposed: self.exposed,
+            target_outcomes: self.target_outcomes,
             request_rate: self.requests_per_s,
             target_endpoints: 4,
             duration_bound: Duration::from_millis((self.mean_duration_ms * 1.8) as u64),
@@ -508,18 +520,29 @@
     }
 }
 
-// Guards against a plan so cautious that a good version does not take over by the deadline.
+// Guards against a plan so cautious that a good version does not take over by the deadline, and
+// against one so hasty that it takes over before anything is known of it.
 #[rstest]
-#[case::light(20.0, 300.0)]
-#[case::usual(50.0, 800.0)]
-fn test_rollout_good_version_is_completed_in_time(#[case] rate: f64, #[case] mean_ms: f64) {
+#[case::light(20.0, 300.0, 16_000)]
+#[case::usual(50.0, 800.0, 16_000)]
+#[case::soon(70.0, 25.0, 6_000)]
+#[case::sparse(3.0, 300.0, 16_000)]
+#[case::unused(0.0, 300.0, 16_000)]
+fn test_rollout_good_version_is_completed_in_time(
+    #[case] rate: f64,
+    #[case] mean_ms: f64,
+    #[case] within_ms: u64,
+) {
     for seed in 0..20 {
-        let mut simulation = Simulation::new(seed, rate, 16_000, mean_ms);
-        while simulation.now_ms < START_MS + 16_000 {
+        let mut simulation = Simulation::new(seed, rate, within_ms, mean_ms);
+        let is_completed = |stage: Stage| stage.state == RolloutState::Completed;
+        while !simulation.decided_stage.is_some_and(is_completed) {
             simulation.step();
+            let elapsed = simulation.now_ms - START_MS;
+            assert!(elapsed <= within_ms, "late, seed {seed}");
         }
-        let stage = simulation.decided_stage.unwrap();
-        assert_eq!(stage.state, RolloutState::Completed, "seed {seed}");
+        let outcomes = simulation.target_outcomes;
+        assert!(outcomes >= 6.min(rate as u64), "{outcomes}, seed {seed}");
     }
 }
 
@@ -536,6 +559,7 @@
         stage_age: Duration::from_secs(3),
         now_ms: START_MS + 100,
         elapsed: Duration::from_millis(15_900),
+        target_outcomes: 50,
         old_running: 2,
         old_non_retryable: 1,
         ..simulation.view()
@@ -558,6 +582,7 @@
         stage_age: Duration::from_secs(3),
         now_ms: START_MS + 100,
         elapsed: Duration::from_millis(15_900),
+        target_outcomes: 50,
         is_in_doubt: true,
         ..simulation.view()
     };
@@ -574,6 +599,35 @@
     assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::RolledBack);
 }
 
+// Guards against a version that is completed because nothing is known of it, though requests arrive:
+// the old versions happened to be idle before it got one.
+#[rstest]
+#[case::used(50.0, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::unused(0.5, RolloutState::Completed, RolloutState::Completed)]
+fn test_rollout_version_without_outcomes_is_not_completed(
+    #[case] request_rate: f64,
+    #[case] at_first: RolloutState,
+    #[case] at_last: RolloutState,
+) {
+    let simulation = Simulation::new(1, request_rate, 16_000, 800.0);
+    let mut view = RolloutView {
+        stage: Some(Stage {
+            idle_ms: Some(START_MS),
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        now_ms: START_MS,
+        elapsed: Duration::from_millis(15_350),
+        ..simulation.view()
+    };
+    assert_eq!(next_stage(&view, BOUNDS).state, at_first);
+    view.now_ms += 30_000;
+    view.elapsed += Duration::from_secs(30);
+    assert_eq!(next_stage(&view, BOUNDS).state, at_last);
+    view.target_outcomes = 6;
+    assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::Completed);
+}
+
 // Guards against a cutover to a version without endpoints, also after the deadline.
 #[test]
 fn test_rollout_without_endpoints_of_the_new_version_waits() {
