rollouts: a cutover stops at the exposure bound when the rate rises

Cause: a cutover was postponed once the counted requests had reached the planned limit. The new version gets all requests until every entry knows the new stage, and the counts lag. The rate was a mean over 4 s, so a rise was seen late. A completion, which cannot be postponed, did not ask whether the requests until the deadline were affordable.

Now the requests that are not counted yet and those of the time in which a stage travels count as sent, at the rate of the newest second if that is higher, and a completion waits while they are not affordable. Near the deadline, when a stop would come too late, nothing is postponed. As these requests are counted now, a cutover may go on until 99% of the bound instead of the planned 95%.

The simulation now measures the rate as the holder does, from counts 200 ms old.

The log line has a new field `peak_rate`.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -117,6 +117,17 @@
         oldest.unwrap_or_else(|| (now, evidence.clone()))
     }
 
+    /// Returns the requests per second since the newest snapshot that is old enough, or 0 without
+    /// one.
+    fn newest_rate(&self, sent: u64, now: Instant) -> f64 {
+        let mut snapshots = self.history.iter().rev();
+        let snapshot = snapshots.find(|(at, _)| now.duration_since(*at) >= MIN_RATE_WINDOW);
+        snapshot.map_or(0.0, |(at, evidence)| {
+            let count = sent.saturating_sub(evidence.sent().0);
+            count as f64 / now.duration_since(*at).as_secs_f64()
+        })
+    }
+
     fn record_stage(&mut self, stage: Option<Stage>, now: Instant) {
         if self.stage != stage {
             self.stage = stage;
@@ -163,6 +174,7 @@
         let now_ms = node.synchronized_millis();
         let elapsed = Duration::from_millis(now_ms.saturating_sub(rollout.seen_ms));
         let recent = sent.saturating_sub(older.sent().0);
+        let request_rate = request_rate((recent, now.duration_since(snapshot_at)), (sent, elapsed));
         let survival = evidence.compare_survival();
         let view = RolloutView {
             stage: rollout.stage,
@@ -174,7 +186,8 @@
             sent,
             exposed,
             target_outcomes: evidence.target_outcomes(),
-            request_rate: request_rate((recent, now.duration_since(snapshot_at)), (sent, elapsed)),
+            request_rate,
+            peak_rate: request_rate.max(tracker.newest_rate(sent, now)),
             target_endpoints: counts.target_endpoints,
             duration_bound: mean_duration_bound(node, &service),
             old_running: counts.old_running,
@@ -199,6 +212,7 @@
             exposed,
             known = view.target_outcomes,
             rate = view.request_rate,
+            peak_rate = view.peak_rate,
             targets = view.target_endpoints,
             longest_ms = crate::millis(view.duration_bound),
             old_running = view.old_running,
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -12,9 +12,12 @@
 use crate::RolloutState;
 use crate::Stage;
 
-/// Fraction of the allowed exposure that is planned for; the rest covers delayed counts from peers.
+/// Fraction of the allowed exposure that is planned for; the rest covers a rise of the request rate.
 const PLANNED_EXPOSURE_FRACTION: f64 = 0.95;
 
+/// Fraction of the allowed exposure at which a cutover is postponed.
+const MAX_EXPOSURE_FRACTION: f64 = 0.99;
+
 /// Fraction of the requests expected until the deadline that is counted towards the allowance.
 const PLANNED_ARRIVAL_FRACTION: f64 = 0.9;
 
@@ -59,6 +62,9 @@
 /// versions.
 const MAX_DRAIN_OVERRUN: Duration = Duration::from_secs(10);
 
+/// Time from when a request is sent until a decision of the holder can follow from it in a cutover.
+const MAX_COUNT_DELAY: Duration = Duration::from_millis(300);
+
 /// Number of outcomes of requests on the new version that suffice for its completion.
 const MIN_KNOWN_OUTCOMES: u64 = 6;
 
@@ -103,6 +109,8 @@
     pub target_outcomes: u64,
     /// Requests to the service per second.
     pub request_rate: f64,
+    /// Requests to the service per second in the newest second if there are more, to see a rise.
+    pub peak_rate: f64,
     /// Number of endpoints of the new version that accept requests.
     pub target_endpoints: usize,
     /// Mean upper bound of the duration of the service's requests.
@@ -122,12 +130,22 @@
         self.within.saturating_sub(self.elapsed)
     }
 
-    /// Returns the number of requests that the new version may still get before the deadline.
-    fn allowance(&self, bounds: ExposureBounds) -> f64 {
+    /// Returns the number of requests that the new version may get in all before the deadline.
+    fn limit(&self, bounds: ExposureBounds) -> f64 {
         let expected =
             self.request_rate * self.time_left().as_secs_f64() * PLANNED_ARRIVAL_FRACTION;
-        let total = bounds.share * (self.sent as f64 + expected) + bounds.slack;
-        (total * PLANNED_EXPOSURE_FRACTION - self.exposed as f64).max(0.0)
+        bounds.share * (self.sent as f64 + expected) + bounds.slack
+    }
+
+    /// Returns the number of requests that are planned for the new version until the deadline.
+    fn allowance(&self, bounds: ExposureBounds) -> f64 {
+        let planned = self.limit(bounds) * PLANNED_EXPOSURE_FRACTION;
+        (planned - self.exposed as f64).max(0.0)
+    }
+
+    /// Returns whether the new version may get a number of uncounted requests before the deadline.
+    fn is_affordable(&self, uncounted: f64, bounds: ExposureBounds) -> bool {
+        self.exposed as f64 + uncounted < self.limit(bounds) * MAX_EXPOSURE_FRACTION
     }
 
     /// Returns the number of requests that the new version gets while old ones end in a cutover.
@@ -200,6 +218,25 @@
         self.target_outcomes >= MIN_KNOWN_OUTCOMES.min(arriving as u64)
     }
 
+    /// Returns the number of requests that the new version gets, uncounted so far, before all entries
+    /// know that a cutover is postponed now; none if that is too late to have an effect.
+    fn unstoppable_requests(&self, idle_ms: u64) -> f64 {
+        if self.time_left() <= self.propagation_time {
+            return 0.0;
+        }
+        let begin_ms = idle_ms.saturating_sub(crate::millis(self.duration_bound));
+        let until_begin = Duration::from_millis(begin_ms.saturating_sub(self.now_ms));
+        let span = (self.propagation_time + MAX_COUNT_DELAY).saturating_sub(until_begin);
+        self.peak_rate * span.as_secs_f64()
+    }
+
+    /// Returns whether the requests that the new version gets before the deadline after a completion,
+    /// which cannot be postponed, are affordable, or it is too late to postpone that.
+    fn is_completion_affordable(&self, bounds: ExposureBounds) -> bool {
+        let requests = self.peak_rate * (self.time_left() + MAX_COUNT_DELAY).as_secs_f64();
+        self.time_left() <= self.propagation_time || self.is_affordable(requests, bounds)
+    }
+
     fn later_idle_ms(&self) -> u64 {
         self.now_ms + crate::millis(self.time_left() + CUTOVER_WINDOW)
     }
@@ -209,7 +246,8 @@
     fn postponed_idle_ms(&self, idle_ms: u64, bounds: ExposureBounds) -> Option<u64> {
         let later_ms = self.later_idle_ms();
         let is_much_later = later_ms > idle_ms + crate::millis(CUTOVER_WINDOW / 2);
-        let is_exhausted = !self.time_left().is_zero() && self.allowance(bounds) <= 0.0;
+        let is_exhausted = !self.time_left().is_zero()
+            && !self.is_affordable(self.unstoppable_requests(idle_ms), bounds);
         (is_exhausted && is_much_later).then_some(later_ms)
     }
 }
@@ -237,7 +275,7 @@
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
-        let is_complete = view.is_complete(idle_ms);
+        let is_complete = view.is_complete(idle_ms) && view.is_completion_affordable(bounds);
         let is_sound = view.is_known() && !view.is_in_doubt;
         if is_complete && is_sound {
             return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -398,12 +398,23 @@
     target_outcomes: u64,
     sent: u64,
     exposed: u64,
+    /// The last two counts at the end of each step.
+    counts: Vec<(u64, u64)>,
 }
 
 const STEP_MS: u64 = 100;
 const STAGE_DELAY_MS: u64 = 500;
 const START_MS: u64 = 1_000_000;
 
+/// Number of steps until the holder knows the counts of all entries.
+const COUNT_DELAY_STEPS: usize = 2;
+
+/// Number of steps over which the holder measures the request rate.
+const RATE_STEPS: usize = 40;
+
+/// Number of steps over which the holder measures the newest request rate.
+const NEWEST_RATE_STEPS: usize = 12;
+
 impl Simulation {
     fn new(seed: u64, requests_per_s: f64, within_ms: u64, mean_duration_ms: f64) -> Self {
         Self {
@@ -421,6 +432,7 @@
             target_outcomes: 0,
             sent: 0,
             exposed: 0,
+            counts: vec![(0, 0)],
         }
     }
 
@@ -439,6 +451,7 @@
         for _ in 0..arrivals {
             self.arrive();
         }
+        self.counts.push((self.sent, self.exposed));
         let now = self.now_ms;
         self.old_request_ends_ms.retain(|end| *end > now);
         let running = self.target_request_ends_ms.len();
@@ -469,6 +482,15 @@
     }
 
     fn view(&self) -> RolloutView {
+        let newest = self.counts.len().saturating_sub(COUNT_DELAY_STEPS + 1);
+        let (sent, exposed) = self.counts[newest];
+        let rate_over = |steps: usize| {
+            let span = newest.min(steps);
+            let recent = sent - self.counts[newest - span].0;
+            let span_s = (span as u64 * STEP_MS) as f64 / 1000.0;
+            recent as f64 / span_s.max(1.0)
+        };
+        let request_rate = rate_over(RATE_STEPS);
         RolloutView {
             stage: self.decided_stage,
             stage_age: Duration::from_millis(self.now_ms - self.stage_decided_ms),
@@ -476,10 +498,11 @@
             now_ms: self.now_ms,
             elapsed: Duration::from_millis(self.now_ms - START_MS),
             within: Duration::from_millis(self.within_ms),
-            sent: self.sent,
-            exposed: self.exposed,
+            sent,
+            exposed,
             target_outcomes: self.target_outcomes,
-            request_rate: self.requests_per_s,
+            request_rate,
+            peak_rate: request_rate.max(rate_over(NEWEST_RATE_STEPS)),
             target_endpoints: 4,
             duration_bound: Duration::from_millis((self.mean_duration_ms * 1.8) as u64),
             old_running: self.old_request_ends_ms.len() as u32,
@@ -520,6 +543,30 @@
     }
 }
 
+// Guards against a cutover that goes on until the bound is reached, while the rate of requests rises:
+// the new version gets requests until all entries know that the cutover is postponed.
+#[rstest]
+fn test_rollout_exposure_stays_within_its_bound_when_the_rate_rises(
+    #[values(36.0, 55.0)] rate: f64,
+    #[values(10_000, 15_000)] within_ms: u64,
+    #[values(200.0, 600.0)] mean_ms: f64,
+    #[values(2_000, 4_000)] rise_before_ms: u64,
+    #[values(1.5, 2.0)] factor: f64,
+) {
+    let deadline_ms = START_MS + within_ms;
+    for seed in 0..5 {
+        let mut simulation = Simulation::new(seed, rate, within_ms, mean_ms);
+        while simulation.now_ms < deadline_ms {
+            let is_higher = simulation.now_ms >= deadline_ms - rise_before_ms;
+            simulation.requests_per_s = if is_higher { rate * factor } else { rate };
+            simulation.step();
+        }
+        let allowed = BOUNDS.share * simulation.sent as f64 + BOUNDS.slack;
+        let exposed = simulation.exposed as f64;
+        assert!(exposed <= allowed, "{exposed} of {allowed}, seed {seed}");
+    }
+}
+
 // Guards against a plan so cautious that a good version does not take over by the deadline, and
 // against one so hasty that it takes over before anything is known of it.
 #[rstest]
@@ -609,7 +656,7 @@
     #[case] at_first: RolloutState,
     #[case] at_last: RolloutState,
 ) {
-    let simulation = Simulation::new(1, request_rate, 16_000, 800.0);
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
     let mut view = RolloutView {
         stage: Some(Stage {
             idle_ms: Some(START_MS),
@@ -618,6 +665,7 @@
         stage_age: Duration::from_secs(3),
         now_ms: START_MS,
         elapsed: Duration::from_millis(15_350),
+        request_rate,
         ..simulation.view()
     };
     assert_eq!(next_stage(&view, BOUNDS).state, at_first);
