rollouts: a version that slows some of its requests is in doubt again

What callers saw: a bad version was completed and kept.

A version that slows only some requests several times is not that much slower in the mean, so that hides it.

The tolerance was meant for times that hardly differ, where a small slowdown is significant; now it is used only on routes whose old versions respond in such times.

--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -48,6 +48,9 @@
 /// Minimum variance that is assumed of the logarithm of a response's time.
 const MIN_LOG_VARIANCE: f64 = 0.25;
 
+/// Variance of the logarithm of a response's time below which times hardly differ.
+const MAX_STEADY_LOG_VARIANCE: f64 = 0.16;
+
 /// Number of standard errors by which the responses of a slow version must fall short of the
 /// expected number.
 const HAZARD_STDERR_THRESHOLD: f64 = 3.5;
@@ -155,6 +158,13 @@
         self.failed as f64 / finished.max(1) as f64
     }
 
+    /// Returns whether the response times hardly differ.
+    fn has_steady_times(&self) -> bool {
+        let count = self.answered.max(1) as f64;
+        let log_mean = self.log_sum / count;
+        self.log_squares / count - log_mean * log_mean < MAX_STEADY_LOG_VARIANCE
+    }
+
     /// Returns the mean of the logarithms and the variance of that mean.
     fn log_mean(&self) -> (f64, f64) {
         let count = self.answered.max(1) as f64;
@@ -395,12 +405,18 @@
 
     /// Returns whether the new version is more likely slower than tolerated than not.
     ///
-    /// Where times hardly differ, a small slowdown is significant as well.
+    /// Where times hardly differ, a small slowdown is significant as well. Elsewhere it is not, and
+    /// nothing is tolerated: a version that slows only some requests is not much slower in the mean.
     fn exceeds_tolerance(&self) -> bool {
         let mut log_rank = LogRank::default();
         for route in self.routes.values() {
+            let create_table = if route.old.has_steady_times() {
+                SurvivalTable::tolerant
+            } else {
+                SurvivalTable::new
+            };
             log_rank.add_stratum(
-                &SurvivalTable::tolerant(&route.target.times, &route.target_running),
+                &create_table(&route.target.times, &route.target_running),
                 &SurvivalTable::new(&route.old.times, &route.old_running),
             );
         }
--- a/entry/tests/test_rollout_slow.rs
+++ b/entry/tests/test_rollout_slow.rs
@@ -270,3 +270,25 @@
     assert_eq!(evidence.find_regression(&RolloutEvidence::new(1)), None);
     assert!(!evidence.is_in_doubt());
 }
+
+// Guards against a version that slows some of its requests several times and is completed, since most
+// of them take no longer than before.
+#[test]
+fn test_rollout_version_that_slows_some_requests_is_in_doubt() {
+    let in_doubt = (0..100).filter(|seed| {
+        let mut rng = SmallRng::seed_from_u64(*seed);
+        let mut evidence = RolloutEvidence::new(1);
+        for (side, count) in [(VersionSide::Old, 400), (VersionSide::Target, 60)] {
+            for _ in 0..count {
+                let is_slow = side == VersionSide::Target && rng.random_bool(0.4);
+                let time = draw_time(&mut rng, 300.0, 0.7) * if is_slow { 4 } else { 1 };
+                let outcomes = evidence.side_mut("a", side);
+                outcomes.sent += 1;
+                outcomes.record_response(time);
+            }
+        }
+        evidence.is_in_doubt()
+    });
+    let count = in_doubt.count();
+    assert!(count >= 90, "{count} of 100");
+}
