rollouts: a short trial in a cutover leaves room for a rise of the rate

What operators saw: a good version completed after its deadline, in one of 32 runs of test_entry_rollout_completes_or_rolls_back::case_1_good with the trial share in the cutover.

Cause: in the log of that run the rate rose from 54 to 82 requests per second during the cutover, and the trial had used 26 requests of the bound's 95, so the cutover was postponed 0.65 s before the deadline at the bound.

A trial that begins with the cutover now aims at 12 requests, twice as many as a completion asks for. Whether the test of real entries still fails in some runs is not known yet.

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -30,6 +30,9 @@
 /// Maximum share of the new version before the cutover, in thousandths.
 const MAX_TRIAL_SHARE_PERMILLE: u32 = 100;
 
+/// Number of trial requests if the trial only begins with the cutover.
+const LATE_TRIAL_SAMPLE_SIZE: f64 = 12.0;
+
 /// Maximum share of the new version, in thousandths, if the trial only begins with the cutover.
 const MAX_LATE_TRIAL_SHARE_PERMILLE: u32 = 250;
 
@@ -173,19 +176,15 @@
     }
 
     fn trial_share(&self, bounds: ExposureBounds) -> u32 {
-        self.share_of(self.trial_requests(bounds))
-            .min(MAX_TRIAL_SHARE_PERMILLE)
-    }
-
-    fn trial_requests(&self, bounds: ExposureBounds) -> f64 {
-        (self.allowance(bounds) * TRIAL_EXPOSURE_FRACTION).min(TRIAL_SAMPLE_SIZE)
+        let requests = (self.allowance(bounds) * TRIAL_EXPOSURE_FRACTION).min(TRIAL_SAMPLE_SIZE);
+        self.share_of(requests).min(MAX_TRIAL_SHARE_PERMILLE)
     }
 
     /// Returns the trial share of a cutover that begins without one, which is taken from what the
     /// cutover leaves of the allowance.
     fn cutover_trial_share(&self, bounds: ExposureBounds) -> u32 {
         let spare = (self.allowance(bounds) - self.cutover_requests()).max(0.0);
-        self.share_of(self.trial_requests(bounds).min(spare))
+        self.share_of(spare.min(LATE_TRIAL_SAMPLE_SIZE))
             .min(MAX_LATE_TRIAL_SHARE_PERMILLE)
     }
 
