part_crash: completed requests count only if sent after the crashes

What callers saw: a prompt part that was sound and then turned bad crashed endpoint after endpoint for minutes, with the sound requests that ran beside it.

Cause: each request with the part that had completed within the last two to four minutes outweighed three crashes, whenever it was sent. Such requests say that the part was sound then, not that it is now.

Entries now keep, and pass on, when the newest completed requests were sent. The evidence against a part is the longest run of its newest crashes that is not outweighed by requests sent after the run's first crash. As it then has crashes to report after each lost endpoint, parts without completed requests are reported first, and parts that do not fit into the report are still reported with their counts. An entry of the release before reads the counts as before; its own counts only raise what is needed.

Ruled out: that gossip is the slow part; on the code before, the part was not found within 40 s.

Two existing test files change only by the new field and the new argument.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -437,11 +437,11 @@
     }
 
     /// Records that an endpoint ran the request to its end.
-    pub(crate) fn record_completed(&self, node: &Node) {
+    pub(crate) fn record_completed(&self, node: &Node, reservation: &Reservation) {
         let now = Instant::now();
         let mut tracker = node.part_crashes.lock();
         for part in self.request.call.shared_parts() {
-            tracker.record_completed(part, now);
+            tracker.record_completed(part, reservation.started, now);
         }
     }
 
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -1,10 +1,11 @@
 //! Detection of prompt parts that crash the endpoints on which requests with them run.
 //!
 //! Such requests may differ in everything else, so the evidence is kept by part: the endpoint
-//! processes that failed under requests with it, against the requests with it that completed. A sound
-//! part fails together with a crashing one, but also completes without it, and its failures are a
-//! subset of those of the crashing part. An endpoint process that responds to a later request has not
-//! crashed. Every entry passes on all crashes that it knows, so that
+//! processes that failed under requests with it, against the requests with it that were sent since
+//! and completed. What completed before says little, as a part may turn bad: it only raises the number
+//! of crashes that are needed. A sound part fails together with a crashing one, but also completes
+//! without it, and its failures are a subset of those of the crashing part. An endpoint process that
+//! responds to a later request has not crashed. Every entry passes on all crashes that it knows, so that
 //! they spread from every entry that has learnt of them and outlive the one that saw them.
 
 use std::time::Duration;
@@ -18,16 +19,13 @@
 use crate::EndpointId;
 use crate::EntryName;
 use crate::PartId;
+use crate::part_completions::CompletedRequests;
+use crate::part_completions::Completions;
+use crate::part_evidence::Evidence;
+use crate::part_evidence::MIN_CRASHES;
 
-/// Number of endpoint processes that must have crashed under requests with a part.
-const CRASH_THRESHOLD: usize = 3;
-
-/// Number of crashes that one completed request with a part outweighs.
-const CRASHES_PER_COMPLETION: u64 = 3;
-
-/// Minimum time between the first and the last crash; failures at one moment have another cause,
-/// such as the loss of a failure domain or of all connections of an entry.
-const MIN_CRASH_SPAN: Duration = Duration::from_millis(250);
+/// Number of crashes that one request with a part outweighs that was sent after them and completed.
+const CRASHES_PER_COMPLETION: usize = 3;
 
 /// Time for which a crash counts.
 const CRASH_RETENTION: Duration = Duration::from_mins(4);
@@ -40,7 +38,7 @@
 const MAX_SUSPECTS: usize = 256;
 
 /// Maximum number of crashes kept for a part; beyond it, the oldest is dropped.
-const MAX_CRASHES_PER_PART: usize = 12;
+const MAX_CRASHES_PER_PART: usize = 16;
 
 /// Maximum number of processes known to have outlived a failure; beyond it, the one known for longest
 /// is dropped.
@@ -49,12 +47,6 @@
 /// Maximum number of parts with crashes that are reported to peers, and of parts with counts only.
 const MAX_REPORTS: usize = 16;
 
-/// Length of the periods in which completed requests are counted; the current and the last one count.
-const COUNTING_PERIOD: Duration = Duration::from_mins(2);
-
-/// Maximum number of parts counted in a period; a period ends early when it is reached.
-const MAX_COUNTED_PARTS: usize = 8192;
-
 /// One process of an endpoint, as a hash of its id and incarnation.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(transparent)]
@@ -78,14 +70,17 @@
     pub crashes: Vec<(EndpointProcess, u64)>,
     /// Requests with the part that completed through the reporting entry.
     pub completed: u64,
+    /// Times since the newest of them were sent, in milliseconds.
+    #[serde(default)]
+    pub completed_sends: Vec<u64>,
 }
 
 /// A part with crashes.
 #[derive(Debug, Default)]
 struct Suspect {
     crashes: IndexMap<EndpointProcess, Instant>,
-    /// Number of completed requests that each peer reported last.
-    peer_completed: IndexMap<EntryName, u64>,
+    /// Completed requests that each peer reported last.
+    peer_completed: IndexMap<EntryName, Completions>,
     /// Whether a peer reported crashes, so that peers may need this entry's count.
     is_known_to_peers: bool,
 }
@@ -101,7 +96,7 @@
 #[derive(Debug, Default)]
 pub struct PartCrashTracker {
     suspects: IndexMap<PartId, Suspect>,
-    completed: CompletedCounts,
+    completed: CompletedRequests,
     /// Processes that responded after they seemed to have crashed, each with the time of the last
     /// request that it responded to.
     outlived: IndexMap<EndpointProcess, Instant>,
@@ -110,9 +105,9 @@
 }
 
 impl PartCrashTracker {
-    /// Counts a request with a part that completed.
-    pub fn record_completed(&mut self, part: PartId, now: Instant) {
-        self.completed.record(part, now);
+    /// Counts a request with a part that was sent at `sent` and completed.
+    pub fn record_completed(&mut self, part: PartId, sent: Instant, now: Instant) {
+        self.completed.record(part, sent, now);
     }
 
     /// Records that an endpoint process failed while it ran a request with a part.
@@ -151,20 +146,23 @@
         published_at: Instant,
         now: Instant,
     ) {
+        let time = |age_ms: &u64| {
+            let at = published_at.checked_sub(Duration::from_millis(*age_ms));
+            at.unwrap_or(published_at)
+        };
         for report in reports {
             for (process, age_ms) in &report.crashes {
-                let at = published_at.checked_sub(Duration::from_millis(*age_ms));
-                self.insert_crash(report.part, *process, at.unwrap_or(published_at), now);
+                self.insert_crash(report.part, *process, time(age_ms), now);
             }
+            let sends = report.completed_sends.iter().map(time).collect();
+            let completed = Completions::new(report.completed, sends);
             let is_known = self.suspects.contains_key(&report.part);
             if !is_known && (report.completed == 0 || self.suspects.len() >= MAX_SUSPECTS) {
                 continue;
             }
             let suspect = self.suspects.entry(report.part).or_default();
             suspect.is_known_to_peers |= !report.crashes.is_empty();
-            suspect
-                .peer_completed
-                .insert(peer.clone(), report.completed);
+            suspect.peer_completed.insert(peer.clone(), completed);
         }
     }
 
@@ -209,27 +207,43 @@
         self.announced.retain(|part| suspects.contains_key(part));
     }
 
-    /// Returns whether completed requests outweigh a part's crashes.
-    fn is_cleared(&self, part: PartId, now: Instant) -> bool {
+    /// Returns the evidence that remains against a part: the longest run of its newest crashes that
+    /// is not outweighed by requests sent after the run's first crash that completed.
+    fn evidence(&self, part: PartId, now: Instant) -> Evidence {
         let Some(suspect) = self.suspects.get(&part) else {
-            return true;
+            return Evidence::default();
         };
-        let peers = suspect.peer_completed.values();
-        let own = self.completed.count(part);
-        let completed = peers.fold(own, |sum, count| sum.saturating_add(*count));
-        let crashes = suspect.live_crashes(now).count() as u64;
-        completed.saturating_mul(CRASHES_PER_COMPLETION) >= crashes
+        let mut completed = self.completed.get(part);
+        for peer in suspect.peer_completed.values() {
+            completed.add(peer);
+        }
+        let mut crashes: Vec<_> = suspect.live_crashes(now).collect();
+        crashes.sort_unstable_by_key(|(_, at)| *at);
+        let is_outweighed = |start: &usize| {
+            let refuting = completed.sent_after(crashes[*start].1);
+            refuting * CRASHES_PER_COMPLETION >= crashes.len() - start
+        };
+        let Some(start) = (0..crashes.len()).find(|start| !is_outweighed(start)) else {
+            return Evidence::default();
+        };
+        let refuting = completed.sent_after(crashes[start].1) as u64;
+        Evidence {
+            is_known_part: completed.count > refuting,
+            crashes: crashes.split_off(start).into_iter().collect(),
+        }
     }
 
-    /// Returns whether a part has enough crashes, and completed requests do not outweigh them.
-    fn is_candidate(&self, part: PartId, now: Instant) -> bool {
-        let suspect = self.suspects.get(&part);
-        suspect.is_some_and(|s| s.crashes.len() >= CRASH_THRESHOLD) && !self.is_cleared(part, now)
+    /// Returns whether completed requests outweigh a part's crashes.
+    fn is_cleared(&self, part: PartId, now: Instant) -> bool {
+        self.evidence(part, now).crashes.is_empty()
     }
 
     /// Returns whether a request with these parts is expected to crash its endpoint.
     pub fn is_crashing(&self, parts: &[PartId], now: Instant) -> bool {
-        if !parts.iter().any(|part| self.is_candidate(*part, now)) {
+        if !parts
+            .iter()
+            .any(|part| self.evidence(*part, now).is_pattern())
+        {
             return false;
         }
         let culprits = self.culprits(now);
@@ -253,21 +267,20 @@
     /// Finds the parts that explain the crashes: in each pass those with the most crashes that no
     /// part found before explains.
     fn culprits(&self, now: Instant) -> Vec<Culprit> {
-        let mut candidates: Vec<(PartId, IndexMap<EndpointProcess, Instant>)> = self
-            .suspects
-            .iter()
-            .filter(|(part, _)| self.is_candidate(**part, now))
-            .map(|(part, suspect)| (*part, suspect.live_crashes(now).collect()))
+        let suspects = self.suspects.iter();
+        let mut candidates: Vec<(PartId, Evidence)> = suspects
+            .filter(|(_, suspect)| suspect.crashes.len() >= MIN_CRASHES)
+            .map(|(part, _)| (*part, self.evidence(*part, now)))
             .collect();
         let mut culprits: Vec<Culprit> = Vec::new();
         loop {
-            candidates.retain(|(_, crashes)| is_pattern(crashes));
-            let Some(most) = candidates.iter().map(|(_, c)| c.len()).max() else {
+            candidates.retain(|(_, evidence)| evidence.is_pattern());
+            let Some(most) = candidates.iter().map(|(_, e)| e.crashes.len()).max() else {
                 return culprits;
             };
             let first_found = culprits.len();
-            for (part, crashes) in candidates.extract_if(.., |(_, c)| c.len() == most) {
-                let crashes: IndexSet<EndpointProcess> = crashes.into_keys().collect();
+            for (part, evidence) in candidates.extract_if(.., |(_, e)| e.crashes.len() == most) {
+                let crashes: IndexSet<EndpointProcess> = evidence.crashes.into_keys().collect();
                 let same = culprits[first_found..]
                     .iter_mut()
                     .find(|c| c.crashes == crashes);
@@ -280,7 +293,8 @@
                 }
             }
             let found = &culprits[first_found..];
-            for (_, crashes) in &mut candidates {
+            for (_, evidence) in &mut candidates {
+                let crashes = &mut evidence.crashes;
                 crashes.retain(|process, _| !found.iter().any(|c| c.crashes.contains(process)));
             }
         }
@@ -297,18 +311,29 @@
         let culprits = self.culprits(now);
         let is_culprit = |part| culprits.iter().any(|c| c.parts.contains(&part));
         let newest_crash = |report: &PartReport| report.crashes.iter().map(|(_, age)| *age).min();
-        reports.sort_by_key(|report| (!is_culprit(report.part), newest_crash(report)));
-        let (mut crashes, mut counts): (Vec<_>, Vec<_>) = reports
+        reports.sort_by_key(|report| {
+            let is_known_part = report.completed > 0;
+            (
+                !is_culprit(report.part),
+                is_known_part,
+                newest_crash(report),
+            )
+        });
+        let (mut crashes, counts): (Vec<_>, Vec<_>) = reports
             .into_iter()
             .partition(|report| !report.crashes.is_empty());
-        crashes.truncate(MAX_REPORTS);
-        counts.truncate(MAX_REPORTS);
-        crashes.append(&mut counts);
+        let rest = crashes.split_off(crashes.len().min(MAX_REPORTS));
+        let rest = rest.into_iter().filter(|report| report.completed > 0);
+        let rest = rest.map(|report| PartReport {
+            crashes: Vec::new(),
+            ..report
+        });
+        crashes.extend(rest.chain(counts).take(MAX_REPORTS));
         crashes
     }
 
     fn report(&self, part: PartId, suspect: &Suspect, now: Instant) -> Option<PartReport> {
-        let completed = self.completed.count(part);
+        let completed = self.completed.get(part);
         let is_cleared = self.is_cleared(part, now);
         let age = |at: &Instant| now.saturating_duration_since(*at);
         let shared = suspect.crashes.iter();
@@ -316,11 +341,13 @@
         let crashes: Vec<_> = shared
             .map(|(process, at)| (*process, crate::millis(age(at))))
             .collect();
-        let is_needed = suspect.is_known_to_peers && completed > 0;
+        let sends = completed.sends.iter().map(|sent| crate::millis(age(sent)));
+        let is_needed = suspect.is_known_to_peers && completed.count > 0;
         (is_needed || !crashes.is_empty()).then_some(PartReport {
             part,
             crashes,
-            completed,
+            completed: completed.count,
+            completed_sends: sends.collect(),
         })
     }
 }
@@ -331,36 +358,3 @@
         crashes.filter(move |(_, at)| now.saturating_duration_since(*at) < CRASH_RETENTION)
     }
 }
-
-/// Returns whether crashes are enough, and not all at one moment.
-fn is_pattern(crashes: &IndexMap<EndpointProcess, Instant>) -> bool {
-    let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
-        return false;
-    };
-    crashes.len() >= CRASH_THRESHOLD && last.duration_since(*first) >= MIN_CRASH_SPAN
-}
-
-/// Numbers of completed requests by part, in the current and the last period.
-#[derive(Debug, Default)]
-struct CompletedCounts {
-    current: IndexMap<PartId, u64>,
-    last: IndexMap<PartId, u64>,
-    started: Option<Instant>,
-}
-
-impl CompletedCounts {
-    fn record(&mut self, part: PartId, now: Instant) {
-        let started = *self.started.get_or_insert(now);
-        let is_over = now.duration_since(started) >= COUNTING_PERIOD;
-        if is_over || self.current.len() >= MAX_COUNTED_PARTS {
-            self.last = std::mem::take(&mut self.current);
-            self.started = Some(now);
-        }
-        *self.current.entry(part).or_default() += 1;
-    }
-
-    fn count(&self, part: PartId) -> u64 {
-        let count = |counts: &IndexMap<PartId, u64>| counts.get(&part).copied().unwrap_or(0);
-        count(&self.current) + count(&self.last)
-    }
-}
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -170,7 +170,8 @@
                 }
                 ReadOutcome::End => {
                     source.reservation.record_success(Instant::now());
-                    self.attempts.record_completed(&self.node);
+                    self.attempts
+                        .record_completed(&self.node, &source.reservation);
                     self.source = None;
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -258,7 +258,7 @@
             if status < 500 {
                 reservation.record_success(Instant::now());
                 if (200..300).contains(&status) {
-                    attempts.record_completed(node);
+                    attempts.record_completed(node, &reservation);
                 }
             } else {
                 reservation.record_failed_response();
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -32,6 +32,7 @@
             .map(|(number, age)| (process(*number), age * interval_ms))
             .collect(),
         completed: 0,
+        completed_sends: Vec::new(),
     }
 }
 
@@ -63,7 +64,7 @@
 async fn test_crash_part_limits_counts_are_reported_beside_many_crashes() {
     let mut tracker = PartCrashTracker::default();
     let sound = PartId(7_000);
-    tracker.record_completed(sound, Instant::now());
+    tracker.record_completed(sound, Instant::now(), Instant::now());
     let peer = EntryName::from("peer");
     let now = Instant::now();
     tracker.merge(&peer, &[report(sound, &[1, 2, 3])], now, now);
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -94,6 +94,8 @@
 struct System {
     nodes: Vec<Arc<Node>>,
     clients: Vec<Arc<CrashingClient>>,
+    /// Time from which the bad part crashes endpoints.
+    bad_from: Mutex<Instant>,
     processes: Mutex<IndexMap<String, Process>>,
     /// Time of each crash.
     crashes: Mutex<Vec<Instant>>,
@@ -133,7 +135,7 @@
             return Err(SendFailure::NotWritten("Connection refused".to_owned()));
         };
         let mut resets = self.resets.subscribe();
-        let is_bad = has_bad_part(dispatch.call);
+        let is_bad = has_bad_part(dispatch.call) && Instant::now() >= *system.bad_from.lock();
         if is_bad {
             system.bad_sends.lock().push(Instant::now());
         }
@@ -204,6 +206,7 @@
                 })
                 .collect(),
             nodes,
+            bad_from: Mutex::new(Instant::now()),
             processes: Mutex::new(records.into_iter().map(new_process).collect()),
             crashes: Mutex::default(),
             bad_sends: Mutex::default(),
@@ -403,6 +406,31 @@
     assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
 }
 
+// Guards against a part that turns bad after it was sound, and is found late because completed
+// requests from before outweigh its crashes.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_part_that_turns_bad_stops_reaching_endpoints(
+    #[values(1)] seed: u64,
+    #[values(6, 90)] entries: usize,
+    #[values(100..200, 1000..3000)] interval_ms: Range<u64>,
+) {
+    let system = System::start(entries, seed);
+    *system.bad_from.lock() = Instant::now() + Duration::from_secs(30);
+    let mut rng = SmallRng::seed_from_u64(seed + 200);
+    for id in 0..100 {
+        system.send_bad(1000 + id, &mut rng);
+        tokio::time::sleep(Duration::from_millis(290)).await;
+    }
+    run_with_bad_part(&system, seed, interval_ms).await;
+    let late = system.late_bad_sends();
+    assert!(late <= 3, "{late} late sends, seed {seed}");
+    let start = system.fifth_crash() + CONTACT_TIME * 2;
+    let (refused, sound) = system.sound_refused(start);
+    assert!(sound > 100, "{sound} sound requests");
+    assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
+}
+
 // Guards against a part whose crashes come all at once, which is not told from a failure of many
 // endpoints until the next crash.
 #[rstest]
@@ -461,6 +489,7 @@
         part: BAD,
         crashes: crashes.collect(),
         completed: 0,
+        completed_sends: Vec::new(),
     }];
     let request = GossipRequest {
         own,
