part_crash: what a peer reported of completed requests outlives its restart

What callers saw: nothing in a record; found by review. After the restart of an entry, its peers could refuse sound requests of a part that had failed together with a crashing one.

Cause: each report of a peer replaces the one before. A peer that restarts learns of the crashes from others before it has completed requests to report, and its empty report took back the evidence that had cleared the part. A peer that is removed keeps its evidence. Such evidence is now a list of times, so it stays true, and it ends by itself, as it says nothing of later crashes: a shorter list does not replace a longer one.

test_crash_part_limits_reports_outlive_the_peer_that_made_them failed before, in the case of the peer that is back (`assertion failed: !tracker.is_crashing(&[sound], Instant::now())`); the other case, a peer that is gone, passed before.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -162,7 +162,11 @@
             }
             let suspect = self.suspects.entry(report.part).or_default();
             suspect.is_known_to_peers |= !report.crashes.is_empty();
-            suspect.peer_completed.insert(peer.clone(), completed);
+            let known = suspect.peer_completed.entry(peer.clone()).or_default();
+            // A peer that restarts counts anew, but what it reported before stays true.
+            if completed.sends.len() >= known.sends.len() {
+                *known = completed;
+            }
         }
     }
 
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -8,6 +8,7 @@
 use hawthornrack_entry::PartCrashTracker;
 use hawthornrack_entry::PartId;
 use hawthornrack_entry::PartReport;
+use rstest::rstest;
 use tokio::time::Instant;
 
 /// A part that crashes every endpoint.
@@ -107,3 +108,33 @@
     );
     assert!(!tracker.is_crashing(&[sound], now));
 }
+
+// What a peer reported of completed requests was dropped when it restarted or left, so that its peers
+// refused sound requests.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_reports_outlive_the_peer_that_made_them(
+    #[values(true, false)] is_back: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let (peer, sound) = (EntryName::from("peer"), PartId(7));
+    let completed = PartReport {
+        completed: 2,
+        completed_sends: vec![10, 20],
+        ..report(sound, &[1, 2, 3, 4, 5])
+    };
+    let now = Instant::now();
+    tracker.merge(&peer, &[completed], now, now);
+    assert!(!tracker.is_crashing(&[sound], now));
+    if is_back {
+        tracker.merge(&peer, &[report(sound, &[5])], now, now);
+    }
+    tokio::time::advance(CRASH_INTERVAL).await;
+    assert!(!tracker.is_crashing(&[sound], Instant::now()));
+    // Its requests say nothing of crashes after them.
+    for number in 6..12 {
+        tracker.record_crash(sound, process(number), Instant::now());
+        tokio::time::advance(CRASH_INTERVAL).await;
+    }
+    assert!(tracker.is_crashing(&[sound], Instant::now()));
+}
