part_crash: a response that ends with its connection completes later

What callers saw: nothing in a record; found by review. A part that crashes endpoints could be found late.

Cause: a response without a length or chunks ends with its connection, and so does that of an endpoint that crashes and closes it in an orderly way: a stream between two events, a plain body anywhere. Such an end counted as a completed request, and one of them outweighed three crashes.

It now counts only once the endpoint process has responded to a request that was sent after it ended; the time that counts is still that at which the request was sent. The adapter reports for buffered bodies, too, whether the framing states the end. Not changed: such an end is no crash by itself.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
+use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
@@ -436,12 +437,24 @@
         self.kind().is_retryable() && self.sends < self.request.route.attempts
     }
 
-    /// Records that an endpoint ran the request to its end.
-    pub(crate) fn record_completed(&self, node: &Node, reservation: &Reservation) {
+    /// Records that an endpoint ran the request to its end, unless the response ended with its
+    /// connection, which may also be how the endpoint crashed.
+    pub(crate) fn record_completed(
+        &self,
+        node: &Node,
+        reservation: &Reservation,
+        states_end: bool,
+    ) {
         let now = Instant::now();
+        let sent = reservation.started;
+        let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
         let mut tracker = node.part_crashes.lock();
         for part in self.request.call.shared_parts() {
-            tracker.record_completed(part, reservation.started, now);
+            if states_end {
+                tracker.record_completed(part, sent, now);
+            } else {
+                tracker.record_ended(part, process, sent, now);
+            }
         }
     }
 
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -98,6 +98,9 @@
     pub headers: HeaderMap,
     /// Buffered or streamed body.
     pub body: ResponseBody<B>,
+    /// Whether the body states its end, by a length or a last chunk, rather than ending with its
+    /// connection.
+    pub states_end: bool,
     /// Whether the endpoint announced that it closes the connection.
     pub closing: bool,
     /// What the endpoint said of its availability.
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -23,6 +23,8 @@
 use crate::part_completions::Completions;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::MIN_CRASHES;
+use crate::part_unconfirmed::UnconfirmedRequest;
+use crate::part_unconfirmed::UnconfirmedRequests;
 
 /// Number of crashes that one request with a part outweighs that was sent after them and completed.
 const CRASHES_PER_COMPLETION: usize = 3;
@@ -97,6 +99,7 @@
 pub struct PartCrashTracker {
     suspects: IndexMap<PartId, Suspect>,
     completed: CompletedRequests,
+    unconfirmed: UnconfirmedRequests,
     /// Processes that responded after they seemed to have crashed, each with the time of the last
     /// request that it responded to.
     outlived: IndexMap<EndpointProcess, Instant>,
@@ -110,6 +113,20 @@
         self.completed.record(part, sent, now);
     }
 
+    /// Records that a response to a request with a part, which was sent at `sent`, ended with its
+    /// connection, as it also does when the endpoint process crashes.
+    ///
+    /// The request counts as completed once the process has responded to a request sent later.
+    pub fn record_ended(
+        &mut self,
+        part: PartId,
+        process: EndpointProcess,
+        sent: Instant,
+        now: Instant,
+    ) {
+        self.unconfirmed.record(part, process, sent, now);
+    }
+
     /// Records that an endpoint process failed while it ran a request with a part.
     ///
     /// Returns whether peers are to be told at once: the crash was not known, and completed requests
@@ -121,6 +138,10 @@
     /// Records that an endpoint process responded to a request that was sent at `sent`, so that it had
     /// not crashed before.
     pub fn record_alive(&mut self, process: EndpointProcess, sent: Instant) {
+        for request in self.unconfirmed.take_confirmed(process, sent) {
+            let UnconfirmedRequest { part, ended, .. } = request;
+            self.completed.record(part, request.sent, ended);
+        }
         let mut suspects = self.suspects.values();
         let seemed_crashed = suspects.any(|s| s.crashes.get(&process).is_some_and(|at| *at < sent));
         if let Some(last) = self.outlived.get_mut(&process) {
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -170,8 +170,9 @@
                 }
                 ReadOutcome::End => {
                     source.reservation.record_success(Instant::now());
+                    let states_end = source.body.states_end();
                     self.attempts
-                        .record_completed(&self.node, &source.reservation);
+                        .record_completed(&self.node, &source.reservation, states_end);
                     self.source = None;
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -247,6 +247,7 @@
         status,
         headers,
         body,
+        states_end,
         closing,
         notice: _,
     } = response;
@@ -258,7 +259,7 @@
             if status < 500 {
                 reservation.record_success(Instant::now());
                 if (200..300).contains(&status) {
-                    attempts.record_completed(node, &reservation);
+                    attempts.record_completed(node, &reservation, states_end);
                 }
             } else {
                 reservation.record_failed_response();
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -79,6 +79,9 @@
 /// Time within which all entries must know of crashes.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// An event of a stream.
+const EVENT: &str = "id: 1\ndata: a\n\n";
+
 /// Number of live peers that an entry contacts after an urgent change.
 const URGENT_FAN_OUT: usize = 12;
 
@@ -151,6 +154,7 @@
                 Ok(EndpointResponse {
                     status: 200,
                     headers: HeaderMap::new(),
+                    states_end: true,
                     body: ResponseBody::Whole(Bytes::from_static(b"answer")),
                     closing: false,
                     notice: EndpointNotice::default(),
@@ -547,6 +551,52 @@
     assert_eq!(client.seen.lock().len(), 1);
 }
 
+// Guards against a crashing part that is found late because an endpoint that crashed closed its
+// connection in an orderly way between two events, or within a body without a stated end.
+#[rstest]
+#[case::plain(ScriptedSend::Respond(200), false, false)]
+#[case::unframed_plain(ScriptedSend::RespondUnframed(200), false, true)]
+#[case::stream(ScriptedSend::Stream(vec![EVENT], Ok(())), false, false)]
+#[case::unframed_stream(ScriptedSend::Unframed(vec![EVENT]), false, true)]
+#[case::unframed_stream_and_a_later_response(ScriptedSend::Unframed(vec![EVENT]), true, false)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_end_of_connection_is_no_completion(
+    #[case] response: ScriptedSend,
+    #[case] responds_later: bool,
+    #[case] crashing: bool,
+) {
+    let node = new_node(0, &[endpoint("e0")]);
+    let mut config = system_config();
+    config.version += 1;
+    config.routes[0][0].kind = RouteKind::ResumableStream;
+    node.apply_config(config, "test");
+    let client = ScriptedClient::new([response, ScriptedSend::Respond(200)]);
+    for number in 1..=3 {
+        if number == 2 {
+            complete(&node, &client, request(1, &[FIRST, BAD])).await;
+        }
+        let process = EndpointProcess(number);
+        let now = Instant::now();
+        node.part_crashes.lock().record_crash(BAD, process, now);
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+    if responds_later {
+        complete(&node, &client, request(2, &[FIRST])).await;
+    }
+    let tracker = node.part_crashes.lock();
+    assert_eq!(tracker.is_crashing(&[FIRST, BAD], Instant::now()), crashing);
+}
+
+/// Sends a request and reads its response to the end.
+async fn complete(node: &Arc<Node>, client: &Arc<ScriptedClient>, call: Call) {
+    match serve(node, client, call).await {
+        CallerResponse::Stream { mut events, .. } => {
+            while events.next().await.unwrap().is_some() {}
+        }
+        response => assert!(matches!(response, CallerResponse::Whole { .. })),
+    }
+}
+
 // Guards against a part that is refused for good after crashes long ago, because entries tell each
 // other of them again and again.
 #[tokio::test(start_paused = true)]
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -160,6 +160,8 @@
 pub enum ScriptedSend {
     /// Returns a complete response with this status.
     Respond(u16),
+    /// Returns a response with this status that ends with its connection.
+    RespondUnframed(u16),
     /// Returns a complete response with this status and notice.
     Notify(u16, EndpointNotice),
     /// Streams chunks, then ends cleanly or with an error.
@@ -281,7 +283,10 @@
             .lock()
             .pop_front()
             .expect("more sends than scripted outcomes");
-        let states_end = !matches!(step, ScriptedSend::Unframed(_));
+        let states_end = !matches!(
+            step,
+            ScriptedSend::Unframed(_) | ScriptedSend::RespondUnframed(_)
+        );
         let stream = |chunks: Vec<&'static str>, end, drip, delayed| {
             ResponseBody::Stream(ScriptedBody {
                 chunks: chunks.into(),
@@ -299,7 +304,9 @@
             _ => EndpointNotice::default(),
         };
         let (status, body) = match step {
-            ScriptedSend::Respond(status) | ScriptedSend::Notify(status, _) => (status, whole()),
+            ScriptedSend::Respond(status)
+            | ScriptedSend::RespondUnframed(status)
+            | ScriptedSend::Notify(status, _) => (status, whole()),
             ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None, None)),
             ScriptedSend::Unframed(chunks) => (200, stream(chunks, Some(Ok(())), None, None)),
             ScriptedSend::Stall(chunks) => (200, stream(chunks, None, None, None)),
@@ -317,6 +324,7 @@
         Ok(EndpointResponse {
             status,
             headers: HeaderMap::new(),
+            states_end,
             body,
             closing: false,
             notice,
