serve: a part that is only suspected gets a short Retry-After

What callers saw: requests with a sound part that was blamed for a moment were refused with a Retry-After of a minute, although the suspicion was taken back within seconds.

Cause: one Retry-After for everything that is refused as crashing. A suspicion is taken back as soon as an endpoint that seemed to have crashed responds, or requests that were sent since complete, so its callers may retry after 5 s. It is certain, with a Retry-After of a minute, once the evidence would be enough against a part that completed requests before: five endpoint processes at four moments, not outweighed; or if the whole request has crashed three. A retry is refused without a send while the suspicion lasts, so the short Retry-After sends no more requests to endpoints. A suspected part is not tried again on purpose: that would cost a crash if it is bad.

test_crash_parts_retry_after_is_long_only_if_certain failed before, in the case of three crashes (left: Some(60s), right: Some(5s)).

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -62,9 +62,6 @@
 /// Retry-After when no endpoint is left to try or [`MAX_TRIED_ENDPOINTS`] is reached.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// Retry-After of a request that crashes endpoints.
-pub(crate) const CRASH_RETRY_AFTER: Duration = Duration::from_mins(1);
-
 /// Minimum Retry-After when all endpoints are full, and Retry-After when an endpoint rejected the
 /// request and no further retry is allowed.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -159,8 +156,10 @@
             if self.request.deadline.saturating_duration_since(now) < MIN_SEND_TIME {
                 return Err(self.final_refusal(RefusalKind::Expired, None));
             }
-            if node.is_crashing(self.request.fingerprint, &self.request.call) {
-                return Err(self.final_refusal(RefusalKind::Crashing, Some(CRASH_RETRY_AFTER)));
+            let request = &self.request;
+            if let Some(suspicion) = node.crash_suspicion(request.fingerprint, &request.call) {
+                let after = Some(suspicion.retry_after());
+                return Err(self.final_refusal(RefusalKind::Crashing, after));
             }
             let freed = node.slot_freed.notified();
             match self.reserve_by_rollout(node, now) {
@@ -415,7 +414,9 @@
         let allowed = self.sends < self.request.route.attempts && left > MIN_SEND_TIME * 2;
         if !allowed
             || !self.fits_shutdown(node)
-            || node.is_crashing(self.request.fingerprint, &self.request.call)
+            || node
+                .crash_suspicion(self.request.fingerprint, &self.request.call)
+                .is_some()
         {
             return false;
         }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -46,6 +46,7 @@
 use crate::StateRevision;
 use crate::Usage;
 use crate::WindowIndex;
+use crate::part_evidence::Suspicion;
 use crate::refresh_interval;
 use crate::wall_millis;
 
@@ -319,12 +320,19 @@
         bounds.max().unwrap_or_default()
     }
 
-    /// Returns whether a request, by its fingerprint or by a part of its prompt, is expected to crash
-    /// the endpoint that runs it.
-    pub(crate) fn is_crashing(&self, fingerprint: Fingerprint, call: &Call) -> bool {
+    /// Returns how sure it is that a request, by its fingerprint or by a part of its prompt, crashes the
+    /// endpoint that runs it; `None` if it is not expected to.
+    pub(crate) fn crash_suspicion(
+        &self,
+        fingerprint: Fingerprint,
+        call: &Call,
+    ) -> Option<Suspicion> {
+        if self.crashes.lock().is_crashing(fingerprint) {
+            return Some(Suspicion::Certain);
+        }
         let parts = call.shared_parts();
-        self.crashes.lock().is_crashing(fingerprint)
-            || self.part_crashes.lock().is_crashing(&parts, Instant::now())
+        let tracker = self.part_crashes.lock();
+        tracker.suspicion(&parts, Instant::now())
     }
 
     /// Logs prompt parts that have become suspected of crashing endpoints, and tells peers at once.
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -23,6 +23,7 @@
 use crate::part_completions::Completions;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::MIN_CRASHES;
+use crate::part_evidence::Suspicion;
 use crate::part_unconfirmed::UnconfirmedRequest;
 use crate::part_unconfirmed::UnconfirmedRequests;
 
@@ -92,6 +93,7 @@
 struct Culprit {
     parts: Vec<PartId>,
     crashes: IndexSet<EndpointProcess>,
+    suspicion: Suspicion,
 }
 
 /// Evidence on prompt parts, from this entry and its peers.
@@ -265,16 +267,24 @@
 
     /// Returns whether a request with these parts is expected to crash its endpoint.
     pub fn is_crashing(&self, parts: &[PartId], now: Instant) -> bool {
+        self.suspicion(parts, now).is_some()
+    }
+
+    /// Returns how sure it is that a request with these parts crashes its endpoint; `None` if it is
+    /// not expected to.
+    pub(crate) fn suspicion(&self, parts: &[PartId], now: Instant) -> Option<Suspicion> {
         if !parts
             .iter()
             .any(|part| self.evidence(*part, now).is_pattern())
         {
-            return false;
+            return None;
         }
         let culprits = self.culprits(now);
+        let culprits = culprits.iter();
         culprits
-            .iter()
-            .any(|culprit| culprit.parts.iter().all(|part| parts.contains(part)))
+            .filter(|culprit| culprit.parts.iter().all(|part| parts.contains(part)))
+            .map(|culprit| culprit.suspicion)
+            .max()
     }
 
     /// Returns the parts that have become suspected of crashing endpoints since the last call.
@@ -305,6 +315,7 @@
             };
             let first_found = culprits.len();
             for (part, evidence) in candidates.extract_if(.., |(_, e)| e.crashes.len() == most) {
+                let suspicion = evidence.suspicion();
                 let crashes: IndexSet<EndpointProcess> = evidence.crashes.into_keys().collect();
                 let same = culprits[first_found..]
                     .iter_mut()
@@ -314,6 +325,7 @@
                     None => culprits.push(Culprit {
                         parts: vec![part],
                         crashes,
+                        suspicion,
                     }),
                 }
             }
--- a/entry/src/part_evidence.rs
+++ b/entry/src/part_evidence.rs
@@ -26,6 +26,32 @@
 /// failure domain or of all connections of an entry.
 const MIN_MOMENT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Retry-After of requests with a part that may be found sound, as soon as a request with it completes
+/// or an endpoint responds that seemed to have crashed.
+const SUSPECTED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Retry-After of requests that crash endpoints.
+const CERTAIN_RETRY_AFTER: Duration = Duration::from_mins(1);
+
+/// How sure it is that a request crashes its endpoint.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Suspicion {
+    /// The evidence may be taken back.
+    Suspected,
+    /// The evidence is enough even against a part that completed requests before.
+    Certain,
+}
+
+impl Suspicion {
+    /// Returns the time after which a caller may retry.
+    pub(crate) const fn retry_after(self) -> Duration {
+        match self {
+            Self::Suspected => SUSPECTED_RETRY_AFTER,
+            Self::Certain => CERTAIN_RETRY_AFTER,
+        }
+    }
+}
+
 /// Crashes that are enough to suspect a part.
 #[derive(Clone, Copy, Debug)]
 struct CrashPattern {
@@ -52,7 +78,20 @@
         } else {
             NEW_PART
         };
-        self.crashes.len() >= needed.crashes && self.moments() >= needed.moments
+        self.matches(needed)
+    }
+
+    /// Returns how sure it is that the part crashes endpoints, if the crashes are enough.
+    pub(crate) fn suspicion(&self) -> Suspicion {
+        if self.matches(KNOWN_PART) {
+            Suspicion::Certain
+        } else {
+            Suspicion::Suspected
+        }
+    }
+
+    fn matches(&self, pattern: CrashPattern) -> bool {
+        self.crashes.len() >= pattern.crashes && self.moments() >= pattern.moments
     }
 
     fn moments(&self) -> usize {
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -22,7 +22,6 @@
 use crate::Route;
 use crate::attempt::AdmittedRequest;
 use crate::attempt::Attempts;
-use crate::attempt::CRASH_RETRY_AFTER;
 use crate::log_limit;
 use crate::quota_owner;
 use crate::reservation::Reservation;
@@ -97,10 +96,10 @@
         ));
     }
     let fingerprint = call.fingerprint(customer.map(|c| &c.name));
-    if node.is_crashing(fingerprint, call) {
+    if let Some(suspicion) = node.crash_suspicion(fingerprint, call) {
         return Err(Refusal::with_retry_after(
             RefusalKind::Crashing,
-            CRASH_RETRY_AFTER,
+            suspicion.retry_after(),
         ));
     }
     if !node.endpoints.lock().is_loaded() {
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -531,6 +531,27 @@
     assert_eq!(client.seen.lock().len(), 12);
 }
 
+// Guards against callers of a part that is suspected for a moment, who are told to wait as long as
+// those of a part that has crashed many endpoints.
+#[rstest]
+#[case::suspected(3, 5)]
+#[case::certain(6, 60)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_retry_after_is_long_only_if_certain(
+    #[case] crashes: u64,
+    #[case] retry_after_s: u64,
+) {
+    let node = new_node(0, &[endpoint("e0")]);
+    let client = ScriptedClient::new([]);
+    learn_crashes(&node, crashes);
+    let response = serve(&node, &client, request(1, &[FIRST, BAD])).await;
+    let CallerResponse::Refused(refusal) = response else {
+        panic!("{response:?}");
+    };
+    let expected = Duration::from_secs(retry_after_s);
+    assert_eq!(refusal.retry_after, Some(expected));
+}
+
 // Guards against a stream with a crashing part that is resumed at one endpoint after the other.
 #[tokio::test(start_paused = true)]
 async fn test_crash_parts_stream_is_not_resumed() {
