gossip: urgent changes are sent to several peers at most five times a second

What callers saw: nothing in a record; found by review. When many endpoints are lost at once, each new crash made an entry send its state to up to 12 peers, one such push right after the other.

Cause: the wait for an urgent change had no pause. It now starts 200 ms after the last push; a change that comes earlier is kept and sent then, with all others.

test_peer_rpc_urgent_gossip_is_bounded failed before: `500 states in 5 s`, one for each of 500 changes; 20 to 60 are allowed, as the state is also rebuilt at its own interval.

--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -39,6 +39,9 @@
 /// Maximum number of peers that are contacted concurrently after an urgent change.
 const URGENT_FAN_OUT: usize = 12;
 
+/// Minimum time between two urgent changes that are sent to several peers.
+const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Minimum number of live peers in the entry's failure domain for most rounds to stay within it.
 const MIN_DOMAIN_PEERS: usize = 4;
 
@@ -228,8 +231,10 @@
     interval.clamp(MIN_ROUND_INTERVAL, MAX_ROUND_INTERVAL)
 }
 
-/// Runs gossip rounds with one peer each until the process ends.
+/// Runs gossip rounds with one peer each until the process ends, and sends urgent changes to several
+/// peers, at most once per [`MIN_URGENT_INTERVAL`].
 pub async fn run_gossip(node: &Arc<Node>) {
+    let mut next_urgent = Instant::now();
     loop {
         node.record_own_clock();
         if let Some((name, address)) = choose_peer(node) {
@@ -239,11 +244,20 @@
         let round = round_interval(node.entry_count()).mul_f64(jitter);
         tokio::select! {
             () = tokio::time::sleep(round) => {}
-            () = node.gossip_now.notified() => push_state(node, URGENT_FAN_OUT).await,
+            () = urgent_change(node, next_urgent) => {
+                next_urgent = Instant::now() + MIN_URGENT_INTERVAL;
+                push_state(node, URGENT_FAN_OUT).await;
+            }
         }
     }
 }
 
+/// Waits for an urgent change, until `not_before` at least; one that comes earlier is kept.
+async fn urgent_change(node: &Node, not_before: Instant) {
+    tokio::time::sleep_until(not_before).await;
+    node.gossip_now.notified().await;
+}
+
 /// Sends the final state to some peers before the entry stops; counts since the last round would be
 /// lost otherwise.
 pub async fn send_final_state(node: &Arc<Node>) {
