crash: requests with the most crashes are shared first

What callers saw: nothing in a record; found by review. A request that crashes endpoints through several entries could be refused late.

Cause: only the eight requests recorded last were shared with peers, and an entry's own crashes only, so that one crash that cut many requests, or reports of peers, pushed all others out of the report.

Requests without own crashes no longer take up places, and those with the most crashes come first. Among requests with one crash each, still only eight are shared; a request that crashes endpoints again is ahead of them from its second crash that this entry knows of.

--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -1,5 +1,6 @@
 //! Detection of requests that crash the endpoints on which they run.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -114,22 +115,33 @@
         crashes.is_some_and(|c| c.endpoints.len() >= CRASH_THRESHOLD)
     }
 
-    /// Returns the crashes that this entry saw itself of the `max_requests` requests recorded last, to
-    /// be sent to peers, each with the endpoint and its incarnation; the request recorded first comes
-    /// first.
+    /// Returns the crashes that this entry saw itself of at most `max_requests` requests, to be sent to
+    /// peers, each with the endpoint and its incarnation: of those with the most crashes, and among them
+    /// of those recorded last.
     pub fn recent_crashes(
         &self,
         max_requests: usize,
         now: Instant,
     ) -> Vec<(Fingerprint, EndpointId, u64)> {
-        let skip_count = self.requests.len().saturating_sub(max_requests);
-        let requests = self.requests.iter().skip(skip_count);
         let is_kept = |c: &RequestCrashes| now.duration_since(c.last_crash) < CRASH_RETENTION;
+        let requests = self.requests.iter().rev();
+        let mut requests: Vec<_> = requests
+            .filter(|(_, c)| is_kept(c) && c.own().next().is_some())
+            .collect();
+        requests.sort_by_key(|(_, c)| Reverse(c.endpoints.len()));
+        requests.truncate(max_requests);
         requests
-            .filter(|(_, c)| is_kept(c))
-            .flat_map(|(f, c)| c.endpoints.iter().map(move |crash| (f, crash)))
-            .filter(|(_, crash)| crash.source == Source::Own)
+            .into_iter()
+            .flat_map(|(f, c)| c.own().map(move |crash| (f, crash)))
             .map(|(f, crash)| (*f, crash.endpoint.clone(), crash.incarnation.unwrap_or(0)))
             .collect()
     }
 }
+
+impl RequestCrashes {
+    /// Returns the crashes that this entry saw itself.
+    fn own(&self) -> impl Iterator<Item = &EndpointCrash> {
+        let crashes = self.endpoints.iter();
+        crashes.filter(|crash| crash.source == Source::Own)
+    }
+}
--- a/entry/tests/test_budgets.rs
+++ b/entry/tests/test_budgets.rs
@@ -118,3 +118,29 @@
     assert!(tracker.record_crash(request, &endpoint, 3, Instant::now()));
     assert!(tracker.is_crashing(request));
 }
+
+// A request that crashed several endpoints was not reported to peers, because one crash cut many other
+// requests, or peers reported many.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_budgets_request_with_most_crashes_is_shared_first(
+    #[values(true, false)] is_own: bool,
+) {
+    let mut tracker = CrashTracker::default();
+    let request = Fingerprint(7);
+    let now = Instant::now();
+    for endpoint in ["a", "b"] {
+        tracker.record_crash(request, &EndpointId::from(endpoint), 1, now);
+    }
+    let endpoint = EndpointId::from("c");
+    for other in 100..160 {
+        if is_own {
+            tracker.record_crash(Fingerprint(other), &endpoint, 1, now);
+        } else {
+            tracker.record_peer_crash(Fingerprint(other), &endpoint, Some(1), now);
+        }
+    }
+    let shared = tracker.recent_crashes(8, now);
+    let endpoints = shared.iter().filter(|(f, _, _)| *f == request);
+    assert_eq!(endpoints.count(), 2, "{shared:?}");
+}
