--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
+use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
@@ -62,9 +63,6 @@
 /// Retry-After when no endpoint is left to try or [`MAX_TRIED_ENDPOINTS`] is reached.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// Retry-After of a request that crashes endpoints.
-pub(crate) const CRASH_RETRY_AFTER: Duration = Duration::from_mins(1);
-
 /// Minimum Retry-After when all endpoints are full, and Retry-After when an endpoint rejected the
 /// request and no further retry is allowed.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -159,8 +157,10 @@
             if self.request.deadline.saturating_duration_since(now) < MIN_SEND_TIME {
                 return Err(self.final_refusal(RefusalKind::Expired, None));
             }
-            if node.is_crashing(self.request.fingerprint, &self.request.call) {
-                return Err(self.final_refusal(RefusalKind::Crashing, Some(CRASH_RETRY_AFTER)));
+            let request = &self.request;
+            if let Some(suspicion) = node.crash_suspicion(request.fingerprint, &request.call) {
+                let after = Some(suspicion.retry_after());
+                return Err(self.final_refusal(RefusalKind::Crashing, after));
             }
             let freed = node.slot_freed.notified();
             match self.reserve_by_rollout(node, now) {
@@ -433,7 +433,9 @@
         let allowed = self.sends < self.request.route.attempts && left > needed;
         if !allowed
             || !self.fits_shutdown(node)
-            || node.is_crashing(self.request.fingerprint, &self.request.call)
+            || node
+                .crash_suspicion(self.request.fingerprint, &self.request.call)
+                .is_some()
         {
             return false;
         }
@@ -468,12 +470,24 @@
         self.kind().is_retryable() && self.sends < self.request.route.attempts
     }
 
-    /// Records that an endpoint ran the request to its end.
-    pub(crate) fn record_completed(&self, node: &Node) {
+    /// Records that an endpoint ran the request to its end, unless the response ended with its
+    /// connection, which may also be how the endpoint crashed.
+    pub(crate) fn record_completed(
+        &self,
+        node: &Node,
+        reservation: &Reservation,
+        states_end: bool,
+    ) {
         let now = Instant::now();
+        let sent = reservation.started;
+        let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
         let mut tracker = node.part_crashes.lock();
         for part in self.request.call.shared_parts() {
-            tracker.record_completed(part, now);
+            if states_end {
+                tracker.record_completed(part, sent, now);
+            } else {
+                tracker.record_ended(part, process, sent, now);
+            }
         }
     }
 
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -79,6 +79,9 @@
 /// Time within which all entries must know of crashes.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// An event of a stream.
+const EVENT: &str = "id: 1\ndata: a\n\n";
+
 /// Number of live peers that an entry contacts after an urgent change.
 const URGENT_FAN_OUT: usize = 12;
 
@@ -94,6 +97,8 @@
 struct System {
     nodes: Vec<Arc<Node>>,
     clients: Vec<Arc<CrashingClient>>,
+    /// Time from which the bad part crashes endpoints.
+    bad_from: Mutex<Instant>,
     processes: Mutex<IndexMap<String, Process>>,
     /// Time of each crash.
     crashes: Mutex<Vec<Instant>>,
@@ -133,7 +138,7 @@
             return Err(SendFailure::NotWritten("Connection refused".to_owned()));
         };
         let mut resets = self.resets.subscribe();
-        let is_bad = has_bad_part(dispatch.call);
+        let is_bad = has_bad_part(dispatch.call) && Instant::now() >= *system.bad_from.lock();
         if is_bad {
             system.bad_sends.lock().push(Instant::now());
         }
@@ -149,6 +154,7 @@
                 Ok(EndpointResponse {
                     status: 200,
                     headers: HeaderMap::new(),
+                    states_end: true,
                     body: ResponseBody::Whole(Bytes::from_static(b"answer")),
                     closing: false,
                     notice: EndpointNotice::default(),
@@ -204,6 +210,7 @@
                 })
                 .collect(),
             nodes,
+            bad_from: Mutex::new(Instant::now()),
             processes: Mutex::new(records.into_iter().map(new_process).collect()),
             crashes: Mutex::default(),
             bad_sends: Mutex::default(),
@@ -403,6 +410,31 @@
     assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
 }
 
+// Guards against a part that turns bad after it was sound, and is found late because completed
+// requests from before outweigh its crashes.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_part_that_turns_bad_stops_reaching_endpoints(
+    #[values(1)] seed: u64,
+    #[values(6, 90)] entries: usize,
+    #[values(100..200, 1000..3000)] interval_ms: Range<u64>,
+) {
+    let system = System::start(entries, seed);
+    *system.bad_from.lock() = Instant::now() + Duration::from_secs(30);
+    let mut rng = SmallRng::seed_from_u64(seed + 200);
+    for id in 0..100 {
+        system.send_bad(1000 + id, &mut rng);
+        tokio::time::sleep(Duration::from_millis(290)).await;
+    }
+    run_with_bad_part(&system, seed, interval_ms).await;
+    let late = system.late_bad_sends();
+    assert!(late <= 3, "{late} late sends, seed {seed}");
+    let start = system.fifth_crash() + CONTACT_TIME * 2;
+    let (refused, sound) = system.sound_refused(start);
+    assert!(sound > 100, "{sound} sound requests");
+    assert_eq!(refused, 0, "of {sound} sound requests, seed {seed}");
+}
+
 // Guards against a part whose crashes come all at once, which is not told from a failure of many
 // endpoints until the next crash.
 #[rstest]
@@ -461,6 +493,7 @@
         part: BAD,
         crashes: crashes.collect(),
         completed: 0,
+        completed_sends: Vec::new(),
     }];
     let request = GossipRequest {
         own,
@@ -498,6 +531,27 @@
     assert_eq!(client.seen.lock().len(), 12);
 }
 
+// Guards against callers of a part that is suspected for a moment, who are told to wait as long as
+// those of a part that has crashed many endpoints.
+#[rstest]
+#[case::suspected(3, 5)]
+#[case::certain(6, 60)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_retry_after_is_long_only_if_certain(
+    #[case] crashes: u64,
+    #[case] retry_after_s: u64,
+) {
+    let node = new_node(0, &[endpoint("e0")]);
+    let client = ScriptedClient::new([]);
+    learn_crashes(&node, crashes);
+    let response = serve(&node, &client, request(1, &[FIRST, BAD])).await;
+    let CallerResponse::Refused(refusal) = response else {
+        panic!("{response:?}");
+    };
+    let expected = Duration::from_secs(retry_after_s);
+    assert_eq!(refusal.retry_after, Some(expected));
+}
+
 // Guards against a stream with a crashing part that is resumed at one endpoint after the other.
 #[tokio::test(start_paused = true)]
 async fn test_crash_parts_stream_is_not_resumed() {
@@ -518,6 +572,52 @@
     assert_eq!(client.seen.lock().len(), 1);
 }
 
+// Guards against a crashing part that is found late because an endpoint that crashed closed its
+// connection in an orderly way between two events, or within a body without a stated end.
+#[rstest]
+#[case::plain(ScriptedSend::Respond(200), false, false)]
+#[case::unframed_plain(ScriptedSend::RespondUnframed(200), false, true)]
+#[case::stream(ScriptedSend::Stream(vec![EVENT], Ok(())), false, false)]
+#[case::unframed_stream(ScriptedSend::Unframed(vec![EVENT]), false, true)]
+#[case::unframed_stream_and_a_later_response(ScriptedSend::Unframed(vec![EVENT]), true, false)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_end_of_connection_is_no_completion(
+    #[case] response: ScriptedSend,
+    #[case] responds_later: bool,
+    #[case] crashing: bool,
+) {
+    let node = new_node(0, &[endpoint("e0")]);
+    let mut config = system_config();
+    config.version += 1;
+    config.routes[0][0].kind = RouteKind::ResumableStream;
+    node.apply_config(config, "test");
+    let client = ScriptedClient::new([response, ScriptedSend::Respond(200)]);
+    for number in 1..=3 {
+        if number == 2 {
+            complete(&node, &client, request(1, &[FIRST, BAD])).await;
+        }
+        let process = EndpointProcess(number);
+        let now = Instant::now();
+        node.part_crashes.lock().record_crash(BAD, process, now);
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+    if responds_later {
+        complete(&node, &client, request(2, &[FIRST])).await;
+    }
+    let tracker = node.part_crashes.lock();
+    assert_eq!(tracker.is_crashing(&[FIRST, BAD], Instant::now()), crashing);
+}
+
+/// Sends a request and reads its response to the end.
+async fn complete(node: &Arc<Node>, client: &Arc<ScriptedClient>, call: Call) {
+    match serve(node, client, call).await {
+        CallerResponse::Stream { mut events, .. } => {
+            while events.next().await.unwrap().is_some() {}
+        }
+        response => assert!(matches!(response, CallerResponse::Whole { .. })),
+    }
+}
+
 // Guards against a part that is refused for good after crashes long ago, because entries tell each
 // other of them again and again.
 #[tokio::test(start_paused = true)]
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -162,6 +162,8 @@
     Respond(u16),
     /// Returns a complete response with this status after a delay.
     RespondAfter(u16, Duration),
+    /// Returns a response with this status that ends with its connection.
+    RespondUnframed(u16),
     /// Returns a complete response with this status and notice.
     Notify(u16, EndpointNotice),
     /// Streams chunks, then ends cleanly or with an error.
@@ -288,7 +290,10 @@
         if let ScriptedSend::RespondAfter(_, delay) | ScriptedSend::FailAfter(_, delay) = &step {
             tokio::time::sleep(*delay).await;
         }
-        let states_end = !matches!(step, ScriptedSend::Unframed(_));
+        let states_end = !matches!(
+            step,
+            ScriptedSend::Unframed(_) | ScriptedSend::RespondUnframed(_)
+        );
         let stream = |chunks: Vec<&'static str>, end, drip, delayed| {
             ResponseBody::Stream(ScriptedBody {
                 chunks: chunks.into(),
@@ -308,6 +313,7 @@
         let (status, body) = match step {
             ScriptedSend::Respond(status)
             | ScriptedSend::RespondAfter(status, _)
+            | ScriptedSend::RespondUnframed(status)
             | ScriptedSend::Notify(status, _) => (status, whole()),
             ScriptedSend::Stream(chunks, end) => (200, stream(chunks, Some(end), None, None)),
             ScriptedSend::Unframed(chunks) => (200, stream(chunks, Some(Ok(())), None, None)),
@@ -328,6 +334,7 @@
         Ok(EndpointResponse {
             status,
             headers: HeaderMap::new(),
+            states_end,
             body,
             closing: false,
             notice,
