--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -546,6 +546,23 @@
         }
     }
 
+    /// Runs until the deadline; the rate is multiplied by `factor` from `rise_before_ms` before it on.
+    fn run_with_rise(&mut self, rise_before_ms: u64, factor: f64) {
+        let rate = self.requests_per_s;
+        let deadline_ms = START_MS + self.within_ms;
+        while self.now_ms < deadline_ms {
+            let is_higher = self.now_ms >= deadline_ms - rise_before_ms;
+            self.requests_per_s = if is_higher { rate * factor } else { rate };
+            self.step();
+        }
+    }
+
+    fn assert_exposure_within_bound(&self, seed: u64) {
+        let allowed = BOUNDS.share * self.sent as f64 + BOUNDS.slack;
+        let exposed = self.exposed as f64;
+        assert!(exposed <= allowed, "{exposed} of {allowed}, seed {seed}");
+    }
+
     fn view(&self) -> RolloutView {
         let newest = self.counts.len().saturating_sub(COUNT_DELAY_STEPS + 1);
         let (sent, exposed) = self.counts[newest];
@@ -618,17 +635,20 @@
     #[values(2_000, 4_000)] rise_before_ms: u64,
     #[values(1.5, 2.0)] factor: f64,
 ) {
-    let deadline_ms = START_MS + within_ms;
     for seed in 0..5 {
         let mut simulation = Simulation::new(seed, rate, within_ms, mean_ms);
-        while simulation.now_ms < deadline_ms {
-            let is_higher = simulation.now_ms >= deadline_ms - rise_before_ms;
-            simulation.requests_per_s = if is_higher { rate * factor } else { rate };
-            simulation.step();
-        }
-        let allowed = BOUNDS.share * simulation.sent as f64 + BOUNDS.slack;
-        let exposed = simulation.exposed as f64;
-        assert!(exposed <= allowed, "{exposed} of {allowed}, seed {seed}");
+        simulation.run_with_rise(rise_before_ms, factor);
+        simulation.assert_exposure_within_bound(seed);
+    }
+}
+
+// As above, but the rate rises in the last second, when a postponed cutover comes too late.
+#[test]
+fn test_rollout_exposure_stays_within_its_bound_when_the_rate_rises_late() {
+    for seed in 0..5 {
+        let mut simulation = Simulation::new(seed, 55.0, 10_000, 600.0);
+        simulation.run_with_rise(1_000, 2.0);
+        simulation.assert_exposure_within_bound(seed);
     }
 }
 
