durations: the lower bound holds for the largest requests of a route

What callers saw: nothing in a record; found by review. A large request whose endpoint had turned it away was not sent to another one, although there was time.

Cause: sends a request again only if the lower bound of its route's durations fits into the time left. That bound was a time per token multiplied by the maximum number of tokens, so that the part of the duration that does not depend on the length was multiplied as well. It is now at most the lower bound over all requests of the route, which larger ones exceed.

test_rollout_lower_duration_bound_holds_for_the_largest_requests failed before: `assertion failed: estimator.lower_bound("a", Some(tokens)) <= took(tokens)`.

--- a/entry/src/duration_estimator.rs
+++ b/entry/src/duration_estimator.rs
@@ -47,6 +47,8 @@
     per_token: Option<Estimate>,
     /// Duration in milliseconds of a request that states no maximum number of output tokens.
     unsized_request: Option<Estimate>,
+    /// Duration in milliseconds of any request.
+    any_request: Option<Estimate>,
 }
 
 impl RouteEstimator {
@@ -55,14 +57,19 @@
             Some(tokens) => Estimate::record(&mut self.per_token, ms / f64::from(tokens.max(1))),
             None => Estimate::record(&mut self.unsized_request, ms),
         }
+        Estimate::record(&mut self.any_request, ms);
     }
 
     fn upper_bound(&self, tokens: Option<u32>) -> Option<Duration> {
         self.bound(tokens, Estimate::upper)
     }
 
+    /// Returns a bound that holds for large requests as well: part of a request's duration does not
+    /// depend on its length.
     fn lower_bound(&self, tokens: Option<u32>) -> Option<Duration> {
+        let any = Duration::try_from_secs_f64(self.any_request?.lower() / 1000.0).ok()?;
         self.bound(tokens, Estimate::lower)
+            .map(|by_length| by_length.min(any))
     }
 
     fn bound(&self, tokens: Option<u32>, of: fn(Estimate) -> f64) -> Option<Duration> {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -443,6 +443,21 @@
     );
 }
 
+// Guards against a large request that is not sent again, as if it took longer than its caller waits:
+// part of the time that small ones take does not depend on their length.
+#[test]
+fn test_rollout_lower_duration_bound_holds_for_the_largest_requests() {
+    let mut estimator = DurationEstimator::default();
+    let took = |tokens: u32| Duration::from_millis(500 + u64::from(tokens) * 10);
+    for number in 0..300 {
+        let tokens = 10 + number % 10;
+        estimator.record("a", Some(tokens), took(tokens));
+    }
+    for tokens in [10, 500] {
+        assert!(estimator.lower_bound("a", Some(tokens)) <= took(tokens));
+    }
+}
+
 /// Simulation of a rollout: arriving requests, the decided stages, and the resulting exposure.
 struct Simulation {
     rng: SmallRng,
