crash parts: completed requests are kept as long as the crashes of their part

What callers saw: a sound part was refused minutes after its crashes.

Cause: crashes count for 4 minutes, completed requests were kept for 2 to 4, or for fewer when 8192 parts had completed in a period. Once they were forgotten, the part looked like one that had never completed a request, for which three crashes are enough; or the crashes that they outweighed counted again.

Evidence, on the code before (test_crash_part_limits, both cases of the new test): completed_requests_are_kept_as_long_as_the_crashes::completes_first_1_true ... FAILED completed_requests_are_kept_as_long_as_the_crashes::completes_first_2_false ... FAILED assertion failed: !tracker.is_crashing(&[sound], Instant::now())

A part with crashes now holds its own completed requests, from its first crash that counts on. Ruled out: a flag that it completed some before. `Suspect` moves to a module of its own.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod part_completions;
 mod part_crash;
 mod part_evidence;
+mod part_suspect;
 mod part_unconfirmed;
 mod peer_rpc;
 mod peer_search;
--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -32,7 +32,8 @@
         Self { count, sends }
     }
 
-    fn record(&mut self, sent: Instant) {
+    /// Counts a request that was sent at `sent`.
+    pub(crate) fn record(&mut self, sent: Instant) {
         self.count += 1;
         self.sends.push(sent);
         keep_newest(&mut self.sends);
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -24,15 +24,14 @@
 use crate::part_evidence::Evidence;
 use crate::part_evidence::MIN_CRASHES;
 use crate::part_evidence::Suspicion;
+use crate::part_suspect::CRASH_RETENTION;
+use crate::part_suspect::Suspect;
 use crate::part_unconfirmed::UnconfirmedRequest;
 use crate::part_unconfirmed::UnconfirmedRequests;
 
 /// Number of crashes that one request with a part outweighs that was sent after them and completed.
 const CRASHES_PER_COMPLETION: usize = 3;
 
-/// Time for which a crash counts.
-const CRASH_RETENTION: Duration = Duration::from_mins(4);
-
 /// Time for which a crash is passed on. As it is shorter than [`CRASH_RETENTION`], no entry learns of
 /// a crash again that it has forgotten.
 const CRASH_SHARING_PERIOD: Duration = Duration::from_mins(2);
@@ -78,16 +77,6 @@
     pub completed_sends: Vec<u64>,
 }
 
-/// A part with crashes.
-#[derive(Debug, Default)]
-struct Suspect {
-    crashes: IndexMap<EndpointProcess, Instant>,
-    /// Completed requests that each peer reported last.
-    peer_completed: IndexMap<EntryName, Completions>,
-    /// Whether a peer reported crashes, so that peers may need this entry's count.
-    is_known_to_peers: bool,
-}
-
 /// Parts whose evidence is the same, of which at least one crashes endpoints.
 #[derive(Debug)]
 struct Culprit {
@@ -113,6 +102,9 @@
     /// Counts a request with a part that was sent at `sent` and completed.
     pub fn record_completed(&mut self, part: PartId, sent: Instant, now: Instant) {
         self.completed.record(part, sent, now);
+        if let Some(suspect) = self.suspects.get_mut(&part) {
+            suspect.completed.record(sent);
+        }
     }
 
     /// Records that a response to a request with a part, which was sent at `sent`, ended with its
@@ -142,7 +134,7 @@
     pub fn record_alive(&mut self, process: EndpointProcess, sent: Instant) {
         for request in self.unconfirmed.take_confirmed(process, sent) {
             let UnconfirmedRequest { part, ended, .. } = request;
-            self.completed.record(part, request.sent, ended);
+            self.record_completed(part, request.sent, ended);
         }
         let mut suspects = self.suspects.values();
         let seemed_crashed = suspects.any(|s| s.crashes.get(&process).is_some_and(|at| *at < sent));
@@ -183,7 +175,7 @@
             if !is_known && (report.completed == 0 || self.suspects.len() >= MAX_SUSPECTS) {
                 continue;
             }
-            let suspect = self.suspects.entry(report.part).or_default();
+            let suspect = self.suspect(report.part, now);
             suspect.is_known_to_peers |= !report.crashes.is_empty();
             let known = suspect.peer_completed.entry(peer.clone()).or_default();
             // A peer that restarts counts anew, but what it reported before stays true.
@@ -208,7 +200,7 @@
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
             self.remove_expired(now);
         }
-        let suspect = self.suspects.entry(part).or_default();
+        let suspect = self.suspect(part, now);
         if let Some(known) = suspect.crashes.get_mut(&process) {
             *known = at.min(*known);
             return false;
@@ -220,6 +212,16 @@
         true
     }
 
+    /// Returns the record of a part, which starts with the requests that completed before if it has
+    /// no crashes that count.
+    fn suspect(&mut self, part: PartId, now: Instant) -> &mut Suspect {
+        let suspect = self.suspects.entry(part).or_default();
+        if suspect.live_crashes(now).next().is_none() {
+            suspect.completed = self.completed.get(part);
+        }
+        suspect
+    }
+
     /// Removes parts whose crashes no longer count, or the oldest with the fewest if there are none.
     fn remove_expired(&mut self, now: Instant) {
         self.suspects
@@ -240,7 +242,7 @@
         let Some(suspect) = self.suspects.get(&part) else {
             return Evidence::default();
         };
-        let mut completed = self.completed.get(part);
+        let mut completed = self.completed(part, suspect, now);
         for peer in suspect.peer_completed.values() {
             completed.add(peer);
         }
@@ -260,6 +262,14 @@
         }
     }
 
+    /// Returns the requests with a part that completed through this entry.
+    fn completed(&self, part: PartId, suspect: &Suspect, now: Instant) -> Completions {
+        match suspect.live_crashes(now).next() {
+            Some(_) => suspect.completed.clone(),
+            None => self.completed.get(part),
+        }
+    }
+
     /// Returns whether completed requests outweigh a part's crashes.
     fn is_cleared(&self, part: PartId, now: Instant) -> bool {
         self.evidence(part, now).crashes.is_empty()
@@ -370,7 +380,7 @@
     }
 
     fn report(&self, part: PartId, suspect: &Suspect, now: Instant) -> Option<PartReport> {
-        let completed = self.completed.get(part);
+        let completed = self.completed(part, suspect, now);
         let is_cleared = self.is_cleared(part, now);
         let age = |at: &Instant| now.saturating_duration_since(*at);
         let shared = suspect.crashes.iter();
@@ -388,10 +398,3 @@
         })
     }
 }
-
-impl Suspect {
-    fn live_crashes(&self, now: Instant) -> impl Iterator<Item = (EndpointProcess, Instant)> {
-        let crashes = self.crashes.iter().map(|(process, at)| (*process, *at));
-        crashes.filter(move |(_, at)| now.saturating_duration_since(*at) < CRASH_RETENTION)
-    }
-}
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -138,3 +138,32 @@
     }
     assert!(tracker.is_crashing(&[sound], Instant::now()));
 }
+
+// Completed requests were forgotten before the crashes that they outweigh or whose number they raise,
+// so that a sound part was refused minutes later.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_completed_requests_are_kept_as_long_as_the_crashes(
+    #[values(true, false)] completes_first: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let (sound, other) = (PartId(7), PartId(8));
+    let complete = |tracker: &mut PartCrashTracker, part| {
+        tracker.record_completed(part, Instant::now(), Instant::now());
+    };
+    complete(&mut tracker, other);
+    tokio::time::advance(Duration::from_secs(100)).await;
+    if completes_first {
+        complete(&mut tracker, sound);
+    }
+    crash_three_times(&mut tracker, sound).await;
+    if !completes_first {
+        complete(&mut tracker, sound);
+    }
+    for seconds in [20, 120] {
+        assert!(!tracker.is_crashing(&[sound], Instant::now()));
+        tokio::time::advance(Duration::from_secs(seconds)).await;
+        complete(&mut tracker, other);
+    }
+    assert!(!tracker.is_crashing(&[sound], Instant::now()));
+}
