crash parts: completed requests that a peer reports after its restart count

What callers saw: a sound part was refused although a peer had completed requests with it after the crashes.

Cause: a peer's report replaced the one before only if it listed at least as many send times, so that the report of a restarted peer was ignored until it had completed as many requests as before.

Evidence, on the code before (test_crash_part_limits): reports_of_a_restarted_peer_count_once::case_1_sound ... FAILED assertion `left == right` failed left: true right: false

A shorter report now replaces only the times that it may list itself; older ones are kept beside it. The second case guards against counting a request with each report of it: it failed when times were compared without allowing for the error of a reported age.

--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -10,6 +10,10 @@
 /// Maximum number of send times kept for a part.
 const MAX_SENDS: usize = 6;
 
+/// Maximum error of a send time that a peer reports, as its age is measured and rounded anew for each
+/// report.
+const MAX_REPORT_ERROR: Duration = Duration::from_secs(1);
+
 /// Length of the periods in which completed requests are counted; the current and the last one count.
 const COUNTING_PERIOD: Duration = Duration::from_mins(2);
 
@@ -45,6 +49,23 @@
         self.sends.extend(&other.sends);
     }
 
+    /// Takes over a newer report of the same peer.
+    ///
+    /// A peer that restarts counts anew, but what it reported before stays true: older requests are
+    /// kept, unless the report may list them.
+    pub(crate) fn update(&mut self, reported: Self) {
+        let known = std::mem::replace(self, reported);
+        self.count = self.count.max(known.count);
+        if self.sends.len() >= known.sends.len() {
+            return;
+        }
+        let oldest = self.sends.iter().min().copied();
+        let is_listed = |sent: Instant| oldest.is_some_and(|o| sent + MAX_REPORT_ERROR >= o);
+        let older = known.sends.into_iter().filter(|sent| !is_listed(*sent));
+        self.sends.extend(older);
+        keep_newest(&mut self.sends);
+    }
+
     /// Returns how many of the newest requests were sent after `at`.
     pub(crate) fn sent_after(&self, at: Instant) -> usize {
         self.sends.iter().filter(|sent| **sent > at).count()
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -178,10 +178,7 @@
             let suspect = self.suspect(report.part, now);
             suspect.is_known_to_peers |= !report.crashes.is_empty();
             let known = suspect.peer_completed.entry(peer.clone()).or_default();
-            // A peer that restarts counts anew, but what it reported before stays true.
-            if completed.sends.len() >= known.sends.len() {
-                *known = completed;
-            }
+            known.update(completed);
         }
     }
 
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -167,3 +167,37 @@
     }
     assert!(!tracker.is_crashing(&[sound], Instant::now()));
 }
+
+// Requests that a peer reported after its restart were ignored while it had reported more before, so
+// that sound requests were refused. Reported again, they do not outweigh more crashes, although their
+// ages are rounded.
+#[rstest]
+#[case::sound(5, false)]
+#[case::bad(8, true)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_reports_of_a_restarted_peer_count_once(
+    #[case] crashes: u64,
+    #[case] is_crashing: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let (peer, part) = (EntryName::from("peer"), PartId(7));
+    let crashes: Vec<u64> = (0..crashes).collect();
+    let before = PartReport {
+        completed: 6,
+        completed_sends: (10_000..10_006).collect(),
+        ..report(part, &crashes)
+    };
+    tokio::time::advance(Duration::from_secs(20)).await;
+    let now = Instant::now();
+    tracker.merge(&peer, &[before], now, now);
+    for elapsed_us in (0..6).map(|repeat| repeat * 1_300) {
+        let after = PartReport {
+            completed: 2,
+            completed_sends: vec![elapsed_us / 1_000, 10 + elapsed_us / 1_000],
+            ..report(part, &[])
+        };
+        let now = now + Duration::from_micros(elapsed_us);
+        tracker.merge(&peer, &[after], now, now);
+    }
+    assert_eq!(tracker.is_crashing(&[part], Instant::now()), is_crashing);
+}
