crash: a request is no longer refused once its crashes are too old

What callers saw: on a service without further crashes, a request that had crashed three endpoints was refused for good, not for two minutes. Found by reading.

Cause: old crashes were discarded only when another crash was recorded; the check before a send did not look at their age. The test recorded such a crash before it looked.

Evidence, with the new assertions on the code before: test_budgets_reports_of_known_crashes_do_not_keep_them ... FAILED assertion failed: !own.is_crashing(request)

`CrashTracker::is_crashing` now takes the time. The existing assertions of test_budgets pass it on and are otherwise unchanged.

--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -12,8 +12,7 @@
 /// Number of endpoint processes that a request must have crashed to be refused.
 const CRASH_THRESHOLD: usize = 3;
 
-/// Time after a request's last new crash for which its crashes are kept; older ones are
-/// discarded when the next crash of any request is recorded.
+/// Time after a request's last new crash for which its crashes count.
 const CRASH_RETENTION: Duration = Duration::from_mins(2);
 
 /// Maximum number of tracked requests; beyond it, the one tracked for longest is dropped.
@@ -82,8 +81,7 @@
         source: Source,
         now: Instant,
     ) -> bool {
-        self.requests
-            .retain(|_, crashes| now.duration_since(crashes.last_crash) < CRASH_RETENTION);
+        self.requests.retain(|_, crashes| crashes.is_live(now));
         if self.requests.len() >= MAX_TRACKED_REQUESTS && !self.requests.contains_key(&request) {
             self.requests.shift_remove_index(0);
         }
@@ -110,9 +108,9 @@
     }
 
     /// Returns whether the request crashed too many endpoints to be run again.
-    pub fn is_crashing(&self, request: Fingerprint) -> bool {
+    pub fn is_crashing(&self, request: Fingerprint, now: Instant) -> bool {
         let crashes = self.requests.get(&request);
-        crashes.is_some_and(|c| c.endpoints.len() >= CRASH_THRESHOLD)
+        crashes.is_some_and(|c| c.is_live(now) && c.endpoints.len() >= CRASH_THRESHOLD)
     }
 
     /// Returns the crashes that this entry saw itself of at most `max_requests` requests, to be sent to
@@ -123,10 +121,9 @@
         max_requests: usize,
         now: Instant,
     ) -> Vec<(Fingerprint, EndpointId, u64)> {
-        let is_kept = |c: &RequestCrashes| now.duration_since(c.last_crash) < CRASH_RETENTION;
         let requests = self.requests.iter().rev();
         let mut requests: Vec<_> = requests
-            .filter(|(_, c)| is_kept(c) && c.own().next().is_some())
+            .filter(|(_, c)| c.is_live(now) && c.own().next().is_some())
             .collect();
         requests.sort_by_key(|(_, c)| Reverse(c.endpoints.len()));
         requests.truncate(max_requests);
@@ -139,6 +136,11 @@
 }
 
 impl RequestCrashes {
+    /// Returns whether the crashes still count.
+    fn is_live(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_crash) < CRASH_RETENTION
+    }
+
     /// Returns the crashes that this entry saw itself.
     fn own(&self) -> impl Iterator<Item = &EndpointCrash> {
         let crashes = self.endpoints.iter();
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -332,12 +332,13 @@
         fingerprint: Fingerprint,
         call: &Call,
     ) -> Option<Suspicion> {
-        if self.crashes.lock().is_crashing(fingerprint) {
+        let now = Instant::now();
+        if self.crashes.lock().is_crashing(fingerprint, now) {
             return Some(Suspicion::Certain);
         }
         let parts = call.shared_parts();
         let tracker = self.part_crashes.lock();
-        tracker.suspicion(&parts, Instant::now())
+        tracker.suspicion(&parts, now)
     }
 
     /// Logs prompt parts that have become suspected of crashing endpoints, and tells peers at once.
--- a/entry/tests/test_budgets.rs
+++ b/entry/tests/test_budgets.rs
@@ -70,14 +70,19 @@
     let request = Fingerprint(7);
     for (endpoint, crashing) in [("a", false), ("a", false), ("b", false), ("c", true)] {
         tracker.record_crash(request, &EndpointId::from(endpoint), 1, Instant::now());
-        assert_eq!(tracker.is_crashing(request), crashing, "after {endpoint}");
+        assert_eq!(
+            tracker.is_crashing(request, Instant::now()),
+            crashing,
+            "after {endpoint}"
+        );
     }
-    assert!(!tracker.is_crashing(Fingerprint(8)));
+    assert!(!tracker.is_crashing(Fingerprint(8), Instant::now()));
     assert_eq!(tracker.recent_crashes(8, Instant::now()).len(), 3);
 }
 
 // Guards against a request that is refused for good after crashes long ago: peers kept reporting the
-// same crashes, and each report counted as a new one and was passed on.
+// same crashes, and each report counted as a new one and was passed on; and crashes were discarded only
+// when another request crashed an endpoint.
 #[tokio::test(start_paused = true)]
 async fn test_budgets_reports_of_known_crashes_do_not_keep_them() {
     let request = Fingerprint(7);
@@ -95,12 +100,14 @@
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
     }
+    assert!(!own.is_crashing(request, Instant::now()));
+    assert!(!peer.is_crashing(request, Instant::now()));
     // Crashes of another request show that the old ones are discarded.
     let other = Fingerprint(8);
     own.record_crash(other, &EndpointId::from("a"), 1, Instant::now());
     peer.record_crash(other, &EndpointId::from("a"), 1, Instant::now());
-    assert!(!own.is_crashing(request));
-    assert!(!peer.is_crashing(request));
+    assert!(!own.is_crashing(request, Instant::now()));
+    assert!(!peer.is_crashing(request, Instant::now()));
 }
 
 // An endpoint that a request crashes again after it is back under its id counts again; reports of a
@@ -114,9 +121,9 @@
     assert!(!tracker.record_crash(request, &endpoint, 1, Instant::now()));
     assert!(!tracker.record_peer_crash(request, &endpoint, None, Instant::now()));
     assert!(tracker.record_peer_crash(request, &endpoint, Some(2), Instant::now()));
-    assert!(!tracker.is_crashing(request));
+    assert!(!tracker.is_crashing(request, Instant::now()));
     assert!(tracker.record_crash(request, &endpoint, 3, Instant::now()));
-    assert!(tracker.is_crashing(request));
+    assert!(tracker.is_crashing(request, Instant::now()));
 }
 
 // A request that crashed several endpoints was not reported to peers, because one crash cut many other
