crash: of whole requests, too, only broken connections count

What callers saw: when a version was several times slower than the others, a request that was repeated ran into the time limit of three sends, and every entry refused it with a Retry-After of a minute, also after the version had been rolled back. Found by reading.

Cause: any send that may have run the request counted as a crash of its endpoint, also one that the entry itself gave up and one whose response was unusable. Parts of prompts count broken connections only.

Evidence, on the code before (test_serve): does_not_refuse_request_that_crashed_no_endpoint::case_1_timed_out ... FAILED does_not_refuse_request_that_crashed_no_endpoint::case_2_invalid_response ... FAILED assertion `left == right` failed left: 503 right: 200

No existing test asked for the old behaviour in test_serve and test_budgets; tests with processes were not run.

--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -43,19 +43,24 @@
         SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
         SendFailure::MayHaveRun(interruption) => {
             reservation.record_interrupted(now);
-            let mut crashes = node.crashes.lock();
-            let incarnation = reservation.incarnation;
-            crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
-            drop(crashes);
-            if matches!(interruption, Interruption::ConnectionBroken(_))
-                && reservation.is_endpoint_serving(now)
-            {
-                record_part_crashes(node, &request.call, reservation, now);
+            if matches!(interruption, Interruption::ConnectionBroken(_)) {
+                record_crash(node, request, reservation, now);
             }
         }
     }
 }
 
+/// Records that the endpoint seems to have crashed under the request.
+fn record_crash(node: &Node, request: &AdmittedRequest, reservation: &Reservation, now: Instant) {
+    let mut crashes = node.crashes.lock();
+    let incarnation = reservation.incarnation;
+    crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
+    drop(crashes);
+    if reservation.is_endpoint_serving(now) {
+        record_part_crashes(node, &request.call, reservation, now);
+    }
+}
+
 /// Records a crash of the endpoint under each part of the request that others may hold too.
 fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
     let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -241,6 +241,24 @@
     assert!(refusal.retry_after.is_some());
 }
 
+// An endpoint that is too slow, or whose response is unusable, has not crashed: a version several times
+// slower than the others made entries refuse repeated requests, also after it had been rolled back.
+#[rstest]
+#[case::timed_out(Interruption::TimedOut("timeout".to_owned()))]
+#[case::invalid_response(Interruption::InvalidResponse("status".to_owned()))]
+#[tokio::test(start_paused = true)]
+async fn test_serve_does_not_refuse_request_that_crashed_no_endpoint(#[case] cause: Interruption) {
+    let node = node(config(RouteKind::Once), 5);
+    let failure = ScriptedSend::Fail(SendFailure::MayHaveRun(cause));
+    let script = std::iter::repeat_n(failure, 3).chain([ScriptedSend::Respond(200)]);
+    let client = ScriptedClient::new(script);
+    for _ in 0..3 {
+        response_status(&node, &client).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+    assert_eq!(response_status(&node, &client).await, 200);
+}
+
 // Guards against a request that crashes the only endpoint of a service again and again: one that was
 // back under its id counted once.
 #[tokio::test(start_paused = true)]
