crash parts: failures of a version that was rolled back are blamed on no part

What callers saw: a new version broke connections during its cutover and was rolled back; a common part that its requests held stayed suspected, so that every entry refused requests with it for up to four minutes on the old version, too. Found by reading.

Cause: the crashes at the new version's endpoints were evidence against the parts, and nothing took it back when the version was found to be the cause.

An entry that learns of a rollback forgets the crashes of the processes of the target that it lists, also those that peers report later, and counts no failure of requests that were sent there. Crashes count while the rollout is open: not to count them at its target would leave a bad part unfound in a cutover, in which no request runs elsewhere.

`Culprit` moves to part_evidence.rs, unchanged.

--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -165,11 +165,9 @@
         if stages.is_empty() {
             return;
         }
-        let mut rollouts = self.node.rollouts.lock();
         for rollout in stages {
-            rollouts.merge(rollout);
+            self.node.merge_rollout(rollout);
         }
-        drop(rollouts);
         self.node.gossip_now.notify_one();
     }
 
@@ -496,9 +494,8 @@
     fn merge_recorded_rollouts(&self) {
         let last = self.node.lease.lock().last.clone();
         let recorded = last.map(|record| record.rollouts).unwrap_or_default();
-        let mut rollouts = self.node.rollouts.lock();
         for rollout in &recorded {
-            rollouts.merge(rollout);
+            self.node.merge_rollout(rollout);
         }
     }
 
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -169,9 +169,8 @@
         drop(parts);
         node.announce_crashing_parts(Some(&name));
     }
-    let mut rollouts = node.rollouts.lock();
     for rollout in &state.rollouts {
-        if rollouts.merge(rollout) {
+        if node.merge_rollout(rollout) {
             tracing::info!(
                 event = "rollout_learnt",
                 service = %rollout.order.service,
@@ -181,7 +180,6 @@
             );
         }
     }
-    drop(rollouts);
     let mut endpoints = node.endpoints.lock();
     for removed in &state.removed {
         if endpoints.mark_removed(removed, now) {
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod relay;
 mod reservation;
 mod retry_budget;
+mod rollback;
 mod rollout;
 mod rollout_driver;
 mod rollout_evidence;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -226,7 +226,7 @@
             seen_ms: self.synchronized_millis(),
             stage: None,
         };
-        if self.rollouts.lock().merge(&rollout) {
+        if self.merge_rollout(&rollout) {
             let order = rollout.order;
             tracing::info!(
                 event = "rollout_ordered",
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -21,6 +21,7 @@
 use crate::PartId;
 use crate::part_completions::CompletedRequests;
 use crate::part_completions::Completions;
+use crate::part_evidence::Culprit;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::MIN_CRASHES;
 use crate::part_evidence::Suspicion;
@@ -77,22 +78,14 @@
     pub completed_sends: Vec<u64>,
 }
 
-/// Parts whose evidence is the same, of which at least one crashes endpoints.
-#[derive(Debug)]
-struct Culprit {
-    parts: Vec<PartId>,
-    crashes: IndexSet<EndpointProcess>,
-    suspicion: Suspicion,
-}
-
 /// Evidence on prompt parts, from this entry and its peers.
 #[derive(Debug, Default)]
 pub struct PartCrashTracker {
     suspects: IndexMap<PartId, Suspect>,
     completed: CompletedRequests,
     unconfirmed: UnconfirmedRequests,
-    /// Processes that responded after they seemed to have crashed, each with the time of the last
-    /// request that it responded to.
+    /// Processes whose crashes before a time do not count: they responded to a request sent then, or
+    /// their version was rolled back.
     outlived: IndexMap<EndpointProcess, Instant>,
     /// Parts returned by [`PartCrashTracker::take_new_culprits`].
     announced: IndexSet<PartId>,
@@ -138,18 +131,25 @@
         }
         let mut suspects = self.suspects.values();
         let seemed_crashed = suspects.any(|s| s.crashes.get(&process).is_some_and(|at| *at < sent));
-        if let Some(last) = self.outlived.get_mut(&process) {
+        if seemed_crashed {
+            self.forget_crashes(process, sent);
+        } else if let Some(last) = self.outlived.get_mut(&process) {
             *last = sent.max(*last);
-        } else if seemed_crashed {
+        }
+    }
+
+    /// Forgets the crashes of a process, also those before `until` that are reported later.
+    pub(crate) fn forget_crashes(&mut self, process: EndpointProcess, until: Instant) {
+        if let Some(last) = self.outlived.get_mut(&process) {
+            *last = until.max(*last);
+        } else {
             if self.outlived.len() >= MAX_OUTLIVED {
                 self.outlived.shift_remove_index(0);
             }
-            self.outlived.insert(process, sent);
+            self.outlived.insert(process, until);
         }
-        if seemed_crashed {
-            for suspect in self.suspects.values_mut() {
-                suspect.crashes.shift_remove(&process);
-            }
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.shift_remove(&process);
         }
     }
 
--- a/entry/src/part_evidence.rs
+++ b/entry/src/part_evidence.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tokio::time::Instant;
 
 use crate::EndpointProcess;
+use crate::PartId;
 
 /// Minimum number of crashes of any suspected part.
 pub(crate) const MIN_CRASHES: usize = 3;
@@ -70,6 +72,14 @@
     pub(crate) is_known_part: bool,
 }
 
+/// Parts whose evidence is the same, of which at least one crashes endpoints.
+#[derive(Debug)]
+pub(crate) struct Culprit {
+    pub(crate) parts: Vec<PartId>,
+    pub(crate) crashes: IndexSet<EndpointProcess>,
+    pub(crate) suspicion: Suspicion,
+}
+
 impl Evidence {
     /// Returns whether the crashes are enough, and at enough moments.
     pub(crate) fn is_pattern(&self) -> bool {
--- /dev/null
+++ b/entry/src/rollback.rs
@@ -0,0 +1,55 @@
+//! Crashes at endpoints of a version that was rolled back: they are blamed on the version, not on prompt
+//! parts of the requests that ran there.
+
+use tokio::time::Instant;
+
+use crate::EndpointProcess;
+use crate::Node;
+use crate::Rollout;
+use crate::RolloutState;
+use crate::VersionSide;
+use crate::reservation::Reservation;
+
+impl Node {
+    /// Merges a rollout; returns whether it brought a newer order or a later stage.
+    ///
+    /// Once it is rolled back, the crashes so far at endpoints of its target that are still listed no
+    /// longer count against prompt parts.
+    pub fn merge_rollout(&self, rollout: &Rollout) -> bool {
+        let is_newer = self.rollouts.lock().merge(rollout);
+        if is_newer && is_rolled_back(rollout) {
+            self.forget_part_crashes(rollout);
+        }
+        is_newer
+    }
+
+    fn forget_part_crashes(&self, rollout: &Rollout) {
+        let order = &rollout.order;
+        let endpoints = self.endpoints.lock();
+        let records = endpoints.iter().map(|(_, endpoint)| &endpoint.record);
+        let processes: Vec<_> = records
+            .filter(|r| r.service == order.service && r.version == order.target)
+            .map(|r| EndpointProcess::new(&r.id, r.incarnation))
+            .collect();
+        drop(endpoints);
+        let mut tracker = self.part_crashes.lock();
+        for process in processes {
+            tracker.forget_crashes(process, Instant::now());
+        }
+    }
+}
+
+impl Reservation {
+    /// Returns whether the request was sent to the target of a rollout that has been rolled back since.
+    pub(crate) fn is_rolled_back(&self) -> bool {
+        let rollouts = self.node.rollouts.lock();
+        let rollout = rollouts.get(&self.service);
+        self.side == Some(VersionSide::Target) && rollout.is_some_and(is_rolled_back)
+    }
+}
+
+fn is_rolled_back(rollout: &Rollout) -> bool {
+    rollout
+        .stage
+        .is_some_and(|stage| stage.state == RolloutState::RolledBack)
+}
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -56,7 +56,7 @@
     let incarnation = reservation.incarnation;
     crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
     drop(crashes);
-    if reservation.is_endpoint_serving(now) {
+    if reservation.is_endpoint_serving(now) && !reservation.is_rolled_back() {
         record_part_crashes(node, &request.call, reservation, now);
     }
 }
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -30,8 +30,14 @@
 use hawthornrack_entry::PromptPart;
 use hawthornrack_entry::RefusalKind;
 use hawthornrack_entry::ResponseBody;
+use hawthornrack_entry::Rollout;
+use hawthornrack_entry::RolloutOrder;
+use hawthornrack_entry::RolloutState;
 use hawthornrack_entry::RouteKind;
 use hawthornrack_entry::SendFailure;
+use hawthornrack_entry::ServiceName;
+use hawthornrack_entry::Stage;
+use hawthornrack_entry::VersionName;
 use hawthornrack_entry::apply_reply;
 use hawthornrack_entry::handle_exchange;
 use hawthornrack_entry::serve;
@@ -572,6 +578,74 @@
     assert_eq!(client.seen.lock().len(), 1);
 }
 
+/// Returns a rollout of `v2` that was rolled back.
+fn rolled_back() -> Rollout {
+    Rollout {
+        order: RolloutOrder {
+            id: 1,
+            service: ServiceName::from("desk"),
+            target: VersionName::from("v2"),
+            within: Duration::from_secs(16),
+        },
+        seen_ms: 1_000,
+        stage: Some(Stage {
+            state: RolloutState::RolledBack,
+            serial: 1,
+            share: 0,
+            idle_ms: None,
+        }),
+    }
+}
+
+// Guards against a common part that is refused for minutes after a rollout whose new version broke
+// connections and was rolled back; failures of the old version still count.
+#[rstest]
+#[case::new_version("v2", false, false)]
+#[case::new_version_after_the_rollback("v2", true, false)]
+#[case::old_version("v1", false, true)]
+#[case::old_version_after_the_rollback("v1", true, true)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_failures_of_a_bad_version_are_blamed_on_no_part(
+    #[case] version: &str,
+    #[case] is_rolled_back_first: bool,
+    #[case] crashing: bool,
+) {
+    let records = (0..6).map(|number| EndpointRecord {
+        version: VersionName::from(version),
+        slots: 1,
+        ..endpoint(&format!("e{number}"))
+    });
+    let node = new_node(0, &records.collect::<Vec<_>>());
+    let mut config = system_config();
+    config.version += 1;
+    config.routes[0][0].kind = RouteKind::ResumableStream;
+    node.apply_config(config, "test");
+    node.merge_rollout(&Rollout {
+        stage: None,
+        ..rolled_back()
+    });
+    let broken = ScriptedSend::Stream(vec![EVENT], Err("reset"));
+    let client = ScriptedClient::new(std::iter::repeat_n(broken, 12));
+    let mut streams = Vec::new();
+    for id in 0..3 {
+        let response = serve(&node, &client, request(id, &[FIRST])).await;
+        let CallerResponse::Stream { events, .. } = response else {
+            panic!("no stream: {response:?}");
+        };
+        streams.push(events);
+    }
+    if is_rolled_back_first {
+        node.merge_rollout(&rolled_back());
+    }
+    for mut events in streams {
+        while let Ok(Some(_)) = events.next().await {}
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    node.merge_rollout(&rolled_back());
+    let tracker = node.part_crashes.lock();
+    assert_eq!(tracker.is_crashing(&[FIRST], Instant::now()), crashing);
+}
+
 // Guards against a crashing part that is found late because an endpoint that crashed closed its
 // connection in an orderly way between two events, or within a body without a stated end.
 #[rstest]
