--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -138,3 +138,66 @@
     }
     assert!(tracker.is_crashing(&[sound], Instant::now()));
 }
+
+// Completed requests were forgotten before the crashes that they outweigh or whose number they raise,
+// so that a sound part was refused minutes later.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_completed_requests_are_kept_as_long_as_the_crashes(
+    #[values(true, false)] completes_first: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let (sound, other) = (PartId(7), PartId(8));
+    let complete = |tracker: &mut PartCrashTracker, part| {
+        tracker.record_completed(part, Instant::now(), Instant::now());
+    };
+    complete(&mut tracker, other);
+    tokio::time::advance(Duration::from_secs(100)).await;
+    if completes_first {
+        complete(&mut tracker, sound);
+    }
+    crash_three_times(&mut tracker, sound).await;
+    if !completes_first {
+        complete(&mut tracker, sound);
+    }
+    for seconds in [20, 120] {
+        assert!(!tracker.is_crashing(&[sound], Instant::now()));
+        tokio::time::advance(Duration::from_secs(seconds)).await;
+        complete(&mut tracker, other);
+    }
+    assert!(!tracker.is_crashing(&[sound], Instant::now()));
+}
+
+// Requests that a peer reported after its restart were ignored while it had reported more before, so
+// that sound requests were refused. Reported again, they do not outweigh more crashes, although their
+// ages are rounded.
+#[rstest]
+#[case::sound(5, false)]
+#[case::bad(8, true)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_reports_of_a_restarted_peer_count_once(
+    #[case] crashes: u64,
+    #[case] is_crashing: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let (peer, part) = (EntryName::from("peer"), PartId(7));
+    let crashes: Vec<u64> = (0..crashes).collect();
+    let before = PartReport {
+        completed: 6,
+        completed_sends: (10_000..10_006).collect(),
+        ..report(part, &crashes)
+    };
+    tokio::time::advance(Duration::from_secs(20)).await;
+    let now = Instant::now();
+    tracker.merge(&peer, &[before], now, now);
+    for elapsed_us in (0..6).map(|repeat| repeat * 1_300) {
+        let after = PartReport {
+            completed: 2,
+            completed_sends: vec![elapsed_us / 1_000, 10 + elapsed_us / 1_000],
+            ..report(part, &[])
+        };
+        let now = now + Duration::from_micros(elapsed_us);
+        tracker.merge(&peer, &[after], now, now);
+    }
+    assert_eq!(tracker.is_crashing(&[part], Instant::now()), is_crashing);
+}
