rollouts: requests of an earlier order are no evidence on the next one

Callers could see a good version rolled back, or a bad one kept, if a service got a new order soon after the last one.

Cause: outcomes were counted by service. Running requests were already filtered by order.

Before the fix, test_rollout_requests_of_an_earlier_order_are_no_evidence fails in both cases:

assertion `left == right` failed left: 4 right: 0

Outcomes now go to the evidence to which the running request belongs, found by its number, as long as the order is still the same.

--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -92,11 +92,11 @@
     }
 
     fn update_evidence(&self, update: impl FnOnce(&mut Outcomes)) {
-        let Some(side) = self.side else {
+        let (Some(side), Some(number)) = (self.side, self.rollout_number) else {
             return;
         };
         let mut rollouts = self.node.rollouts.lock();
-        if let Some(evidence) = rollouts.evidence_mut(&self.service) {
+        if let Some(evidence) = rollouts.evidence_of(number) {
             update(evidence.side_mut(&self.route, side));
         }
     }
--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -260,6 +260,14 @@
         Some(number)
     }
 
+    /// Returns a mutable reference to the evidence to which a running request belongs, or `None` if a
+    /// later order has replaced its order.
+    pub(crate) fn evidence_of(&mut self, number: u64) -> Option<&mut RolloutEvidence> {
+        let request = self.running.get(&number)?;
+        let evidence = self.evidence.get_mut(&request.service);
+        evidence.filter(|e| e.order == request.order)
+    }
+
     /// Removes a request that has ended.
     pub(crate) fn end_running(&mut self, number: u64) {
         self.running.swap_remove(&number);
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -281,6 +281,31 @@
     assert_eq!(evidence[&desk()].sent(), (3, 2));
 }
 
+// Requests on the new version of an order that was rolled back counted as evidence on the next order
+// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+    let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 1000))).await;
+    let delay = Duration::from_millis(400);
+    let client = ScriptedClient::new(vec![ScriptedSend::RespondAfter(status, delay); 12]);
+    let ids: Vec<String> = (0..4).map(|number| number.to_string()).collect();
+    let requests = ids.iter().map(|id| serve(&node, &client, call(id)));
+    let later_order = async {
+        tokio::time::sleep(delay / 2).await;
+        let mut later = rollout(5, Some(stage(RolloutState::InProgress, 1, 0)));
+        later.order.target = VersionName::from("v3");
+        node.rollouts.lock().merge(&later);
+    };
+    tokio::join!(futures_util::future::join_all(requests), later_order);
+    let evidence = node.rollouts.lock().evidence();
+    let targets = evidence[&desk()].routes.values().map(|sides| &sides.target);
+    let outcomes: u64 = targets.map(|t| t.answered + t.failed).sum();
+    assert_eq!(outcomes, 0);
+}
+
 fn chosen_version(table: &EndpointTable) -> Option<String> {
     let (service, domain) = (desk(), DomainName::from("north"));
     let request = PlacementRequest {
