rollouts: a version whose endpoints have all left is rolled back

Cause: without an endpoint of the new version, `next_stage` returned before it looked at the doubt and at the time since the deadline, and a cutover was put off by another 6 s each time. A version whose two endpoints each crash at their first trial request gets there: two failures are too few for a regression.

Before the fix, test_rollout_version_that_lost_its_endpoints_is_rolled_back fails for a trial and a cutover:

assertion `left == right` failed left: InProgress right: RolledBack

A version that has got requests and has no endpoint 20 s after the deadline is now rolled back. One that has got none may still be starting, so its rollout waits as before. A new lease holder waits as long as a stage travels, as it may not know the endpoints yet.

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -74,7 +74,8 @@
 /// Time whose requests suffice for a completion if they are fewer than [`MIN_KNOWN_OUTCOMES`].
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after the deadline from which a version that is still in doubt is rolled back.
+/// Time after the deadline from which a version that is still in doubt, or whose endpoints have left,
+/// is rolled back.
 ///
 /// A version of which too little is known is rolled back this time and the duration of a request
 /// after the planned end of the cutover.
@@ -217,6 +218,14 @@
         self.target_outcomes >= MIN_KNOWN_OUTCOMES.min(arriving as u64)
     }
 
+    /// Returns whether the new version has got requests and lost all endpoints, long after the
+    /// deadline; one that has got none may still be starting.
+    fn is_abandoned(&self) -> bool {
+        let is_overdue = self.elapsed > self.within + MAX_DOUBT;
+        let is_stage_settled = self.stage_age >= self.propagation_time;
+        is_overdue && is_stage_settled && self.target_endpoints == 0 && self.exposed > 0
+    }
+
     /// Returns the number of requests that the new version gets, uncounted so far, before all entries
     /// know that a cutover is postponed now; none if that is too late to have an effect.
     fn unstoppable_requests(&self, idle_ms: u64) -> f64 {
@@ -270,7 +279,7 @@
         share,
         idle_ms,
     };
-    if view.regression.is_some() {
+    if view.regression.is_some() || view.is_abandoned() {
         return next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -810,6 +810,34 @@
     assert!(next.idle_ms > Some(view.now_ms), "{next:?}");
 }
 
+// A version whose endpoints had all left after its first requests was neither completed nor rolled
+// back: its rollout never ended. One that got no request may still be starting.
+#[rstest]
+#[case::in_trial(None, 2, RolloutState::RolledBack)]
+#[case::in_cutover(Some(START_MS), 2, RolloutState::RolledBack)]
+#[case::never_sent_to(None, 0, RolloutState::InProgress)]
+fn test_rollout_version_that_lost_its_endpoints_is_rolled_back(
+    #[case] idle_ms: Option<u64>,
+    #[case] exposed: u64,
+    #[case] at_last: RolloutState,
+) {
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
+    let mut view = RolloutView {
+        stage: Some(Stage {
+            idle_ms,
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        elapsed: Duration::from_secs(30),
+        exposed,
+        target_endpoints: 0,
+        ..simulation.view()
+    };
+    assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::InProgress);
+    view.elapsed = Duration::from_secs(40);
+    assert_eq!(next_stage(&view, BOUNDS).state, at_last);
+}
+
 // Guards against a new lease holder that sends all requests to the new version at once because it
 // has measured no request rate yet.
 #[tokio::test(start_paused = true)]
