rollouts: a cutover to an unknown version is postponed soon, with a small trial

Callers got 503 for 20 s and the duration of a request if a new version refused connections or rejected everything at the end of its cutover; a good version could be rolled back for one chance failure.

Cause: a cutover that waited for outcomes kept all requests on the new version while the old endpoints were idle. And a postponed cutover had a trial share of 0, so that a version in doubt got only the requests sent shortly before the next planned end, at low rates too few to be cleared.

Before the fix, test_rollout_postponed_cutover_gets_a_small_trial_after_the_deadline fails in 6 of 9 cases:

left: Some(1000000) right: Some(1008600) assertion `left == right` failed: Stage { state: InProgress, serial: 3, share: 0, idle_ms: Some(1008600) }

Too little known now counts as doubt once requests sent at the planned end should have ended. After the deadline, when the exposure is no longer counted, a postponed cutover has a trial until the version has got 24 requests in all, so that the trial alone does not bring 50 bad responses. Before the deadline it has none, as before. An unknown version is now rolled back from 20 s after the deadline, instead of from 20 s and the duration of a request after the planned end.

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -74,11 +74,8 @@
 /// Time whose requests suffice for a completion if they are fewer than [`MIN_KNOWN_OUTCOMES`].
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after the deadline from which a version that is still in doubt, or whose endpoints have left,
-/// is rolled back.
-///
-/// A version of which too little is known is rolled back this time and the duration of a request
-/// after the planned end of the cutover.
+/// Time after the deadline from which a version is rolled back if it is still in doubt, too little is
+/// known of it, or its endpoints have left.
 const MAX_DOUBT: Duration = Duration::from_secs(20);
 
 /// Limit on the requests that a bad version may get: `share` of all requests plus `slack`.
@@ -189,6 +186,18 @@
             .min(MAX_LATE_TRIAL_SHARE_PERMILLE)
     }
 
+    /// Returns the trial share of a postponed cutover: none before the deadline, since it is postponed
+    /// to save the allowance, and none for a version that has got enough requests to be judged.
+    fn retry_share(&self) -> u32 {
+        if !self.time_left().is_zero() {
+            return 0;
+        }
+        let missing = (TRIAL_SAMPLE_SIZE - self.exposed as f64).max(0.0);
+        let expected = self.request_rate * CUTOVER_WINDOW.as_secs_f64();
+        let share = missing / expected.max(1.0) * f64::from(FULL_SHARE_PERMILLE);
+        (share as u32).min(MAX_LATE_TRIAL_SHARE_PERMILLE)
+    }
+
     /// Returns the share that brings a number of trial requests until the deadline.
     fn share_of(&self, trial_requests: f64) -> u32 {
         let expected = self.request_rate * self.time_left().as_secs_f64();
@@ -226,6 +235,12 @@
         is_overdue && is_stage_settled && self.target_endpoints == 0 && self.exposed > 0
     }
 
+    /// Returns whether requests sent at the planned end of a cutover should have ended, so that outcomes
+    /// that are still missing may never come.
+    fn is_evidence_overdue(&self, idle_ms: u64) -> bool {
+        self.late(idle_ms) > self.duration_bound + EVIDENCE_WINDOW
+    }
+
     /// Returns the number of requests that the new version gets, uncounted so far, before all entries
     /// know that a cutover is postponed now; none if that is too late to have an effect.
     fn unstoppable_requests(&self, idle_ms: u64) -> f64 {
@@ -292,17 +307,15 @@
         if is_complete && is_sound {
             return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
         }
-        if is_complete && view.is_in_doubt {
+        if is_complete && (view.is_in_doubt || view.is_evidence_overdue(idle_ms)) {
             // The old versions serve until the requests on the new one have shown what it is.
             return if view.elapsed > view.within + MAX_DOUBT {
                 next(RolloutState::RolledBack, 0, None)
             } else {
-                next(RolloutState::InProgress, 0, Some(view.later_idle_ms()))
+                let later_ms = view.later_idle_ms();
+                next(RolloutState::InProgress, view.retry_share(), Some(later_ms))
             };
         }
-        if is_complete && view.late(idle_ms) > view.duration_bound + MAX_DOUBT {
-            return next(RolloutState::RolledBack, 0, None);
-        }
         let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
         return postponed_idle_ms.map_or(stage, |later_ms| {
             next(RolloutState::InProgress, 0, Some(later_ms))
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -786,6 +786,40 @@
     assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::Completed);
 }
 
+// All requests stayed on a version of which too little was known, for 20 s, though the old versions were
+// idle; and a good version in doubt for one chance failure got too few requests to be cleared. The trial
+// that follows must not bring 50 bad responses.
+#[rstest]
+#[case::unknown(4, false, true)]
+#[case::in_doubt(4, true, true)]
+#[case::much_used(24, true, false)]
+fn test_rollout_postponed_cutover_gets_a_small_trial_after_the_deadline(
+    #[case] exposed: u64,
+    #[case] is_in_doubt: bool,
+    #[case] has_trial: bool,
+    #[values(2.0, 20.0, 300.0)] request_rate: f64,
+) {
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
+    let view = RolloutView {
+        stage: Some(Stage {
+            idle_ms: Some(START_MS),
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        now_ms: START_MS + 2_600,
+        elapsed: Duration::from_secs(18),
+        exposed,
+        request_rate,
+        is_in_doubt,
+        ..simulation.view()
+    };
+    let next = next_stage(&view, BOUNDS);
+    assert_eq!(next.idle_ms, Some(view.now_ms + 6_000));
+    assert_eq!(next.share > 0, has_trial, "{next:?}");
+    let trial = request_rate * 6.0 * f64::from(next.share) / 1000.0;
+    assert!(trial + (exposed as f64) < 50.0, "{next:?}");
+}
+
 // Guards against a cutover to a version without endpoints, also after the deadline, and against the
 // end of a cutover during which all of them have left: the old ones stop when it is completed.
 #[test]
