rollouts: a new lease holder measures the request rate before a cutover

A new version could get more requests than the exposure bound allows after a change of the lease holder.

Cause: in its first second a holder took the requests that it knew of since the order for the rate. It does not know those of entries that have left, so the rate may be far too low, and a cutover seems affordable. By the same rate a service seemed hardly used, and a version without outcomes was completed.

Before the fix, two new cases fail. test_rollout_new_holder_does_not_start_the_cutover_early, with 1 known request:

left: [Rollout { ... stage: Some(Stage { state: InProgress, serial: 2, share: 30, idle_ms: Some }) }] right: []

test_rollout_version_without_outcomes_is_not_completed, with a rate that is not measured:

left: Completed right: InProgress

Both tests keep their old cases unchanged.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -175,7 +175,8 @@
         let now_ms = node.synchronized_millis();
         let elapsed = Duration::from_millis(now_ms.saturating_sub(rollout.seen_ms));
         let recent = sent.saturating_sub(older.sent().0);
-        let request_rate = request_rate((recent, now.duration_since(snapshot_at)), (sent, elapsed));
+        let measured = now.duration_since(snapshot_at);
+        let request_rate = request_rate((recent, measured), (sent, elapsed));
         let survival = evidence.compare_survival();
         let view = RolloutView {
             stage: rollout.stage,
@@ -188,6 +189,7 @@
             exposed,
             target_outcomes: evidence.target_outcomes(),
             request_rate,
+            is_rate_measured: measured >= MIN_RATE_WINDOW,
             peak_rate: request_rate.max(tracker.newest_rate(sent, now)),
             target_endpoints: counts.target_endpoints,
             duration_bound: mean_duration_bound(node, &service),
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -110,6 +110,9 @@
     pub target_outcomes: u64,
     /// Requests to the service per second.
     pub request_rate: f64,
+    /// Whether this holder has measured that rate for long enough; otherwise it may be too low, as
+    /// requests of entries that have left are unknown.
+    pub is_rate_measured: bool,
     /// Requests to the service per second in the newest second if there are more, to see a rise.
     pub peak_rate: f64,
     /// Number of endpoints of the new version that accept requests.
@@ -224,7 +227,8 @@
     /// requests brings in a short time.
     fn is_known(&self) -> bool {
         let arriving = self.request_rate * EVIDENCE_WINDOW.as_secs_f64();
-        self.target_outcomes >= MIN_KNOWN_OUTCOMES.min(arriving as u64)
+        let is_seldom_used = self.is_rate_measured && self.target_outcomes >= arriving as u64;
+        is_seldom_used || self.target_outcomes >= MIN_KNOWN_OUTCOMES
     }
 
     /// Returns whether the new version has got requests and lost all endpoints, long after the
@@ -321,7 +325,8 @@
             next(RolloutState::InProgress, 0, Some(later_ms))
         });
     }
-    if view.target_endpoints == 0 || view.elapsed < RATE_WARM_UP {
+    let is_rate_known = view.is_rate_measured && view.elapsed >= RATE_WARM_UP;
+    if view.target_endpoints == 0 || !is_rate_known {
         return stage;
     }
     if view.is_cutover_due(bounds) {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -609,6 +609,7 @@
             exposed,
             target_outcomes: self.target_outcomes,
             request_rate,
+            is_rate_measured: true,
             peak_rate: request_rate.max(rate_over(NEWEST_RATE_STEPS)),
             target_endpoints: 4,
             duration_bound: Duration::from_millis((self.mean_duration_ms * 1.8) as u64),
@@ -759,10 +760,12 @@
 // Guards against a version that is completed because nothing is known of it, though requests arrive:
 // the old versions happened to be idle before it got one.
 #[rstest]
-#[case::used(50.0, RolloutState::InProgress, RolloutState::RolledBack)]
-#[case::unused(0.5, RolloutState::Completed, RolloutState::Completed)]
+#[case::used(50.0, true, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::unused(0.5, true, RolloutState::Completed, RolloutState::Completed)]
+#[case::not_measured(0.5, false, RolloutState::InProgress, RolloutState::RolledBack)]
 fn test_rollout_version_without_outcomes_is_not_completed(
     #[case] request_rate: f64,
+    #[case] is_rate_measured: bool,
     #[case] at_first: RolloutState,
     #[case] at_last: RolloutState,
 ) {
@@ -776,6 +779,7 @@
         now_ms: START_MS,
         elapsed: Duration::from_millis(15_350),
         request_rate,
+        is_rate_measured,
         ..simulation.view()
     };
     assert_eq!(next_stage(&view, BOUNDS).state, at_first);
@@ -873,9 +877,15 @@
 }
 
 // Guards against a new lease holder that sends all requests to the new version at once because it
-// has measured no request rate yet.
+// has measured no request rate yet, also if it knows hardly any of the requests since the order.
+#[rstest]
+#[case::all_known(195, 5)]
+#[case::hardly_any_known(1, 0)]
 #[tokio::test(start_paused = true)]
-async fn test_rollout_new_holder_does_not_start_the_cutover_early() {
+async fn test_rollout_new_holder_does_not_start_the_cutover_early(
+    #[case] old_sent: u64,
+    #[case] target_sent: u64,
+) {
     let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 30))).await;
     let mut rollouts = node.rollouts.lock();
     let mut seen = rollouts.get(&desk()).unwrap().clone();
@@ -884,8 +894,8 @@
     seen.seen_ms = node.synchronized_millis() - 4_000;
     rollouts.merge(&seen);
     let evidence = rollouts.evidence_mut(&desk()).unwrap();
-    evidence.side_mut("/a/", VersionSide::Old).sent = 195;
-    evidence.side_mut("/a/", VersionSide::Target).sent = 5;
+    evidence.side_mut("/a/", VersionSide::Old).sent = old_sent;
+    evidence.side_mut("/a/", VersionSide::Target).sent = target_sent;
     drop(rollouts);
     let mut driver = RolloutDriver::default();
     assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
