rollouts: the decisions of a cutover are a function of their own

Its branch for a cutover is now `next_cutover_stage`, and the step after a stage is made by `Stage::next`.

--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -81,6 +81,16 @@
 }
 
 impl Stage {
+    /// Returns the step after this one.
+    pub(crate) fn next(self, state: RolloutState, share: u32, idle_ms: Option<u64>) -> Self {
+        Self {
+            state,
+            serial: self.serial + 1,
+            share,
+            idle_ms,
+        }
+    }
+
     /// Returns whether a cutover may complete before a synchronized time, in milliseconds since the
     /// Unix epoch; the old versions then stop in the middle of requests of which the lease holder
     /// does not know.
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -292,38 +292,11 @@
     if stage.state != RolloutState::InProgress {
         return stage;
     }
-    let next = |state, share, idle_ms| Stage {
-        state,
-        serial: stage.serial + 1,
-        share,
-        idle_ms,
-    };
     if view.regression.is_some() || view.is_abandoned() {
-        return next(RolloutState::RolledBack, 0, None);
+        return stage.next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
-        let is_complete = view.is_complete(idle_ms) && view.is_completion_affordable(bounds);
-        if is_complete && view.target_endpoints == 0 {
-            // The old versions serve until the new one can.
-            return next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
-        }
-        let is_sound = view.is_known() && !view.is_in_doubt;
-        if is_complete && is_sound {
-            return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
-        }
-        if is_complete && (view.is_in_doubt || view.is_evidence_overdue(idle_ms)) {
-            // The old versions serve until the requests on the new one have shown what it is.
-            return if view.elapsed > view.within + MAX_DOUBT {
-                next(RolloutState::RolledBack, 0, None)
-            } else {
-                let later_ms = view.later_idle_ms();
-                next(RolloutState::InProgress, view.retry_share(), Some(later_ms))
-            };
-        }
-        let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
-        return postponed_idle_ms.map_or(stage, |later_ms| {
-            next(RolloutState::InProgress, 0, Some(later_ms))
-        });
+        return next_cutover_stage(view, bounds, stage, idle_ms);
     }
     let is_rate_known = view.is_rate_measured && view.elapsed >= RATE_WARM_UP;
     if view.target_endpoints == 0 || !is_rate_known {
@@ -334,14 +307,46 @@
             0 => view.cutover_trial_share(bounds),
             trial => trial,
         };
-        return next(
+        return stage.next(
             RolloutState::InProgress,
             share,
             Some(view.idle_deadline_ms()),
         );
     }
     if stage.share == 0 {
-        return next(RolloutState::InProgress, view.trial_share(bounds), None);
+        return stage.next(RolloutState::InProgress, view.trial_share(bounds), None);
     }
     stage
 }
+
+/// Returns the stage that follows `stage`, a cutover that is planned to end at `idle_ms`, a
+/// synchronized time in milliseconds since the Unix epoch.
+fn next_cutover_stage(
+    view: &RolloutView,
+    bounds: ExposureBounds,
+    stage: Stage,
+    idle_ms: u64,
+) -> Stage {
+    let is_complete = view.is_complete(idle_ms) && view.is_completion_affordable(bounds);
+    if is_complete && view.target_endpoints == 0 {
+        // The old versions serve until the new one can.
+        return stage.next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
+    }
+    let is_sound = view.is_known() && !view.is_in_doubt;
+    if is_complete && is_sound {
+        return stage.next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
+    }
+    if is_complete && (view.is_in_doubt || view.is_evidence_overdue(idle_ms)) {
+        // The old versions serve until the requests on the new one have shown what it is.
+        return if view.elapsed > view.within + MAX_DOUBT {
+            stage.next(RolloutState::RolledBack, 0, None)
+        } else {
+            let later_ms = view.later_idle_ms();
+            stage.next(RolloutState::InProgress, view.retry_share(), Some(later_ms))
+        };
+    }
+    let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
+    postponed_idle_ms.map_or(stage, |later_ms| {
+        stage.next(RolloutState::InProgress, 0, Some(later_ms))
+    })
+}
