rollouts: a postponed cutover has no trial at an unmeasured rate

Found by reading.

Before the fix, the new case of test_rollout_postponed_cutover_gets_a_small_trial_after_the_deadline fails at all three rates:

assertion `left == right` failed: Stage { state: InProgress, serial: 3, share: 250, idle_ms: Some(1008600) }

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -190,9 +190,10 @@
     }
 
     /// Returns the trial share of a postponed cutover: none before the deadline, since it is postponed
-    /// to save the allowance, and none for a version that has got enough requests to be judged.
+    /// to save the allowance, none at an unmeasured rate, and none for a version that has got enough
+    /// requests to be judged.
     fn retry_share(&self) -> u32 {
-        if !self.time_left().is_zero() {
+        if !self.time_left().is_zero() || !self.is_rate_measured {
             return 0;
         }
         let missing = (TRIAL_SAMPLE_SIZE - self.exposed as f64).max(0.0);
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -794,12 +794,14 @@
 // idle; and a good version in doubt for one chance failure got too few requests to be cleared. The trial
 // that follows must not bring 50 bad responses.
 #[rstest]
-#[case::unknown(4, false, true)]
-#[case::in_doubt(4, true, true)]
-#[case::much_used(24, true, false)]
+#[case::unknown(4, false, true, true)]
+#[case::in_doubt(4, true, true, true)]
+#[case::much_used(24, true, true, false)]
+#[case::not_measured(4, true, false, false)]
 fn test_rollout_postponed_cutover_gets_a_small_trial_after_the_deadline(
     #[case] exposed: u64,
     #[case] is_in_doubt: bool,
+    #[case] is_rate_measured: bool,
     #[case] has_trial: bool,
     #[values(2.0, 20.0, 300.0)] request_rate: f64,
 ) {
@@ -814,6 +816,7 @@
         elapsed: Duration::from_secs(18),
         exposed,
         request_rate,
+        is_rate_measured,
         is_in_doubt,
         ..simulation.view()
     };
