--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -81,6 +81,16 @@
 }
 
 impl Stage {
+    /// Returns the step after this one.
+    pub(crate) fn next(self, state: RolloutState, share: u32, idle_ms: Option<u64>) -> Self {
+        Self {
+            state,
+            serial: self.serial + 1,
+            share,
+            idle_ms,
+        }
+    }
+
     /// Returns whether a cutover may complete before a synchronized time, in milliseconds since the
     /// Unix epoch; the old versions then stop in the middle of requests of which the lease holder
     /// does not know.
@@ -260,6 +270,14 @@
         Some(number)
     }
 
+    /// Returns a mutable reference to the evidence to which a running request belongs, or `None` if a
+    /// later order has replaced its order.
+    pub(crate) fn evidence_of(&mut self, number: u64) -> Option<&mut RolloutEvidence> {
+        let request = self.running.get(&number)?;
+        let evidence = self.evidence.get_mut(&request.service);
+        evidence.filter(|e| e.order == request.order)
+    }
+
     /// Removes a request that has ended.
     pub(crate) fn end_running(&mut self, number: u64) {
         self.running.swap_remove(&number);
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -74,10 +74,8 @@
 /// Time whose requests suffice for a completion if they are fewer than [`MIN_KNOWN_OUTCOMES`].
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after the deadline from which a version that is still in doubt is rolled back.
-///
-/// A version of which too little is known is rolled back this time and the duration of a request
-/// after the planned end of the cutover.
+/// Time after the deadline from which a version is rolled back if it is still in doubt, too little is
+/// known of it, or its endpoints have left.
 const MAX_DOUBT: Duration = Duration::from_secs(20);
 
 /// Limit on the requests that a bad version may get: `share` of all requests plus `slack`.
@@ -112,6 +110,9 @@
     pub target_outcomes: u64,
     /// Requests to the service per second.
     pub request_rate: f64,
+    /// Whether this holder has measured that rate for long enough; otherwise it may be too low, as
+    /// requests of entries that have left are unknown.
+    pub is_rate_measured: bool,
     /// Requests to the service per second in the newest second if there are more, to see a rise.
     pub peak_rate: f64,
     /// Number of endpoints of the new version that accept requests.
@@ -188,6 +189,19 @@
             .min(MAX_LATE_TRIAL_SHARE_PERMILLE)
     }
 
+    /// Returns the trial share of a postponed cutover: none before the deadline, since it is postponed
+    /// to save the allowance, none at an unmeasured rate, and none for a version that has got enough
+    /// requests to be judged.
+    fn retry_share(&self) -> u32 {
+        if !self.time_left().is_zero() || !self.is_rate_measured {
+            return 0;
+        }
+        let missing = (TRIAL_SAMPLE_SIZE - self.exposed as f64).max(0.0);
+        let expected = self.request_rate * CUTOVER_WINDOW.as_secs_f64();
+        let share = missing / expected.max(1.0) * f64::from(FULL_SHARE_PERMILLE);
+        (share as u32).min(MAX_LATE_TRIAL_SHARE_PERMILLE)
+    }
+
     /// Returns the share that brings a number of trial requests until the deadline.
     fn share_of(&self, trial_requests: f64) -> u32 {
         let expected = self.request_rate * self.time_left().as_secs_f64();
@@ -214,7 +228,22 @@
     /// requests brings in a short time.
     fn is_known(&self) -> bool {
         let arriving = self.request_rate * EVIDENCE_WINDOW.as_secs_f64();
-        self.target_outcomes >= MIN_KNOWN_OUTCOMES.min(arriving as u64)
+        let is_seldom_used = self.is_rate_measured && self.target_outcomes >= arriving as u64;
+        is_seldom_used || self.target_outcomes >= MIN_KNOWN_OUTCOMES
+    }
+
+    /// Returns whether the new version has got requests and lost all endpoints, long after the
+    /// deadline; one that has got none may still be starting.
+    fn is_abandoned(&self) -> bool {
+        let is_overdue = self.elapsed > self.within + MAX_DOUBT;
+        let is_stage_settled = self.stage_age >= self.propagation_time;
+        is_overdue && is_stage_settled && self.target_endpoints == 0 && self.exposed > 0
+    }
+
+    /// Returns whether requests sent at the planned end of a cutover should have ended, so that outcomes
+    /// that are still missing may never come.
+    fn is_evidence_overdue(&self, idle_ms: u64) -> bool {
+        self.late(idle_ms) > self.duration_bound + EVIDENCE_WINDOW
     }
 
     /// Returns the number of requests that the new version gets, uncounted so far, before all entries
@@ -264,42 +293,14 @@
     if stage.state != RolloutState::InProgress {
         return stage;
     }
-    let next = |state, share, idle_ms| Stage {
-        state,
-        serial: stage.serial + 1,
-        share,
-        idle_ms,
-    };
-    if view.regression.is_some() {
-        return next(RolloutState::RolledBack, 0, None);
+    if view.regression.is_some() || view.is_abandoned() {
+        return stage.next(RolloutState::RolledBack, 0, None);
     }
     if let Some(idle_ms) = stage.idle_ms {
-        let is_complete = view.is_complete(idle_ms) && view.is_completion_affordable(bounds);
-        if is_complete && view.target_endpoints == 0 {
-            // The old versions serve until the new one can.
-            return next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
-        }
-        let is_sound = view.is_known() && !view.is_in_doubt;
-        if is_complete && is_sound {
-            return next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
-        }
-        if is_complete && view.is_in_doubt {
-            // The old versions serve until the requests on the new one have shown what it is.
-            return if view.elapsed > view.within + MAX_DOUBT {
-                next(RolloutState::RolledBack, 0, None)
-            } else {
-                next(RolloutState::InProgress, 0, Some(view.later_idle_ms()))
-            };
-        }
-        if is_complete && view.late(idle_ms) > view.duration_bound + MAX_DOUBT {
-            return next(RolloutState::RolledBack, 0, None);
-        }
-        let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
-        return postponed_idle_ms.map_or(stage, |later_ms| {
-            next(RolloutState::InProgress, 0, Some(later_ms))
-        });
+        return next_cutover_stage(view, bounds, stage, idle_ms);
     }
-    if view.target_endpoints == 0 || view.elapsed < RATE_WARM_UP {
+    let is_rate_known = view.is_rate_measured && view.elapsed >= RATE_WARM_UP;
+    if view.target_endpoints == 0 || !is_rate_known {
         return stage;
     }
     if view.is_cutover_due(bounds) {
@@ -307,14 +308,46 @@
             0 => view.cutover_trial_share(bounds),
             trial => trial,
         };
-        return next(
+        return stage.next(
             RolloutState::InProgress,
             share,
             Some(view.idle_deadline_ms()),
         );
     }
     if stage.share == 0 {
-        return next(RolloutState::InProgress, view.trial_share(bounds), None);
+        return stage.next(RolloutState::InProgress, view.trial_share(bounds), None);
     }
     stage
 }
+
+/// Returns the stage that follows `stage`, a cutover that is planned to end at `idle_ms`, a
+/// synchronized time in milliseconds since the Unix epoch.
+fn next_cutover_stage(
+    view: &RolloutView,
+    bounds: ExposureBounds,
+    stage: Stage,
+    idle_ms: u64,
+) -> Stage {
+    let is_complete = view.is_complete(idle_ms) && view.is_completion_affordable(bounds);
+    if is_complete && view.target_endpoints == 0 {
+        // The old versions serve until the new one can.
+        return stage.next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
+    }
+    let is_sound = view.is_known() && !view.is_in_doubt;
+    if is_complete && is_sound {
+        return stage.next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
+    }
+    if is_complete && (view.is_in_doubt || view.is_evidence_overdue(idle_ms)) {
+        // The old versions serve until the requests on the new one have shown what it is.
+        return if view.elapsed > view.within + MAX_DOUBT {
+            stage.next(RolloutState::RolledBack, 0, None)
+        } else {
+            let later_ms = view.later_idle_ms();
+            stage.next(RolloutState::InProgress, view.retry_share(), Some(later_ms))
+        };
+    }
+    let postponed_idle_ms = view.postponed_idle_ms(idle_ms, bounds);
+    postponed_idle_ms.map_or(stage, |later_ms| {
+        stage.next(RolloutState::InProgress, 0, Some(later_ms))
+    })
+}
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -281,6 +281,31 @@
     assert_eq!(evidence[&desk()].sent(), (3, 2));
 }
 
+// Requests on the new version of an order that was rolled back counted as evidence on the next order
+// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+    let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 1000))).await;
+    let delay = Duration::from_millis(400);
+    let client = ScriptedClient::new(vec![ScriptedSend::RespondAfter(status, delay); 12]);
+    let ids: Vec<String> = (0..4).map(|number| number.to_string()).collect();
+    let requests = ids.iter().map(|id| serve(&node, &client, call(id)));
+    let later_order = async {
+        tokio::time::sleep(delay / 2).await;
+        let mut later = rollout(5, Some(stage(RolloutState::InProgress, 1, 0)));
+        later.order.target = VersionName::from("v3");
+        node.rollouts.lock().merge(&later);
+    };
+    tokio::join!(futures_util::future::join_all(requests), later_order);
+    let evidence = node.rollouts.lock().evidence();
+    let targets = evidence[&desk()].routes.values().map(|sides| &sides.target);
+    let outcomes: u64 = targets.map(|t| t.answered + t.failed).sum();
+    assert_eq!(outcomes, 0);
+}
+
 fn chosen_version(table: &EndpointTable) -> Option<String> {
     let (service, domain) = (desk(), DomainName::from("north"));
     let request = PlacementRequest {
@@ -599,6 +624,7 @@
             exposed,
             target_outcomes: self.target_outcomes,
             request_rate,
+            is_rate_measured: true,
             peak_rate: request_rate.max(rate_over(NEWEST_RATE_STEPS)),
             target_endpoints: 4,
             duration_bound: Duration::from_millis((self.mean_duration_ms * 1.8) as u64),
@@ -749,10 +775,12 @@
 // Guards against a version that is completed because nothing is known of it, though requests arrive:
 // the old versions happened to be idle before it got one.
 #[rstest]
-#[case::used(50.0, RolloutState::InProgress, RolloutState::RolledBack)]
-#[case::unused(0.5, RolloutState::Completed, RolloutState::Completed)]
+#[case::used(50.0, true, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::unused(0.5, true, RolloutState::Completed, RolloutState::Completed)]
+#[case::not_measured(0.5, false, RolloutState::InProgress, RolloutState::RolledBack)]
 fn test_rollout_version_without_outcomes_is_not_completed(
     #[case] request_rate: f64,
+    #[case] is_rate_measured: bool,
     #[case] at_first: RolloutState,
     #[case] at_last: RolloutState,
 ) {
@@ -766,6 +794,7 @@
         now_ms: START_MS,
         elapsed: Duration::from_millis(15_350),
         request_rate,
+        is_rate_measured,
         ..simulation.view()
     };
     assert_eq!(next_stage(&view, BOUNDS).state, at_first);
@@ -776,6 +805,43 @@
     assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::Completed);
 }
 
+// All requests stayed on a version of which too little was known, for 20 s, though the old versions were
+// idle; and a good version in doubt for one chance failure got too few requests to be cleared. The trial
+// that follows must not bring 50 bad responses.
+#[rstest]
+#[case::unknown(4, false, true, true)]
+#[case::in_doubt(4, true, true, true)]
+#[case::much_used(24, true, true, false)]
+#[case::not_measured(4, true, false, false)]
+fn test_rollout_postponed_cutover_gets_a_small_trial_after_the_deadline(
+    #[case] exposed: u64,
+    #[case] is_in_doubt: bool,
+    #[case] is_rate_measured: bool,
+    #[case] has_trial: bool,
+    #[values(2.0, 20.0, 300.0)] request_rate: f64,
+) {
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
+    let view = RolloutView {
+        stage: Some(Stage {
+            idle_ms: Some(START_MS),
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        now_ms: START_MS + 2_600,
+        elapsed: Duration::from_secs(18),
+        exposed,
+        request_rate,
+        is_rate_measured,
+        is_in_doubt,
+        ..simulation.view()
+    };
+    let next = next_stage(&view, BOUNDS);
+    assert_eq!(next.idle_ms, Some(view.now_ms + 6_000));
+    assert_eq!(next.share > 0, has_trial, "{next:?}");
+    let trial = request_rate * 6.0 * f64::from(next.share) / 1000.0;
+    assert!(trial + (exposed as f64) < 50.0, "{next:?}");
+}
+
 // Guards against a cutover to a version without endpoints, also after the deadline, and against the
 // end of a cutover during which all of them have left: the old ones stop when it is completed.
 #[test]
@@ -800,10 +866,44 @@
     assert!(next.idle_ms > Some(view.now_ms), "{next:?}");
 }
 
+// A version whose endpoints had all left after its first requests was neither completed nor rolled
+// back: its rollout never ended. One that got no request may still be starting.
+#[rstest]
+#[case::in_trial(None, 2, RolloutState::RolledBack)]
+#[case::in_cutover(Some(START_MS), 2, RolloutState::RolledBack)]
+#[case::never_sent_to(None, 0, RolloutState::InProgress)]
+fn test_rollout_version_that_lost_its_endpoints_is_rolled_back(
+    #[case] idle_ms: Option<u64>,
+    #[case] exposed: u64,
+    #[case] at_last: RolloutState,
+) {
+    let simulation = Simulation::new(1, 50.0, 16_000, 800.0);
+    let mut view = RolloutView {
+        stage: Some(Stage {
+            idle_ms,
+            ..stage(RolloutState::InProgress, 2, 30)
+        }),
+        stage_age: Duration::from_secs(3),
+        elapsed: Duration::from_secs(30),
+        exposed,
+        target_endpoints: 0,
+        ..simulation.view()
+    };
+    assert_eq!(next_stage(&view, BOUNDS).state, RolloutState::InProgress);
+    view.elapsed = Duration::from_secs(40);
+    assert_eq!(next_stage(&view, BOUNDS).state, at_last);
+}
+
 // Guards against a new lease holder that sends all requests to the new version at once because it
-// has measured no request rate yet.
+// has measured no request rate yet, also if it knows hardly any of the requests since the order.
+#[rstest]
+#[case::all_known(195, 5)]
+#[case::hardly_any_known(1, 0)]
 #[tokio::test(start_paused = true)]
-async fn test_rollout_new_holder_does_not_start_the_cutover_early() {
+async fn test_rollout_new_holder_does_not_start_the_cutover_early(
+    #[case] old_sent: u64,
+    #[case] target_sent: u64,
+) {
     let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 30))).await;
     let mut rollouts = node.rollouts.lock();
     let mut seen = rollouts.get(&desk()).unwrap().clone();
@@ -812,8 +912,8 @@
     seen.seen_ms = node.synchronized_millis() - 4_000;
     rollouts.merge(&seen);
     let evidence = rollouts.evidence_mut(&desk()).unwrap();
-    evidence.side_mut("/a/", VersionSide::Old).sent = 195;
-    evidence.side_mut("/a/", VersionSide::Target).sent = 5;
+    evidence.side_mut("/a/", VersionSide::Old).sent = old_sent;
+    evidence.side_mut("/a/", VersionSide::Target).sent = target_sent;
     drop(rollouts);
     let mut driver = RolloutDriver::default();
     assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
