rollouts: a pause of the requests does not make an unknown version known

What callers saw: nothing in a record; found by review. A version of which nothing was known could be completed when requests stopped for some seconds at the end of its cutover: what a completion asks for was derived from the rate of the last 4 s only, and a low rate asks for nothing.

The mean rate since the order counts as well if it is higher. The case `paused` of test_rollout_version_without_outcomes_is_not_completed failed before with left: Completed, right: InProgress. The other cases are as before; they pass the new argument.

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -225,9 +225,10 @@
     }
 
     /// Returns whether enough is known of the new version: a few outcomes, or as many as the rate of
-    /// requests brings in a short time.
+    /// requests, now or in the mean since the order, brings in a short time.
     fn is_known(&self) -> bool {
-        let arriving = self.request_rate * EVIDENCE_WINDOW.as_secs_f64();
+        let mean_rate = self.sent as f64 / self.elapsed.as_secs_f64().max(1.0);
+        let arriving = self.request_rate.max(mean_rate) * EVIDENCE_WINDOW.as_secs_f64();
         let is_seldom_used = self.is_rate_measured && self.target_outcomes >= arriving as u64;
         is_seldom_used || self.target_outcomes >= MIN_KNOWN_OUTCOMES
     }
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -775,12 +775,14 @@
 // Guards against a version that is completed because nothing is known of it, though requests arrive:
 // the old versions happened to be idle before it got one.
 #[rstest]
-#[case::used(50.0, true, RolloutState::InProgress, RolloutState::RolledBack)]
-#[case::unused(0.5, true, RolloutState::Completed, RolloutState::Completed)]
-#[case::not_measured(0.5, false, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::used(50.0, true, 0, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::unused(0.5, true, 0, RolloutState::Completed, RolloutState::Completed)]
+#[case::not_measured(0.5, false, 0, RolloutState::InProgress, RolloutState::RolledBack)]
+#[case::paused(0.0, true, 800, RolloutState::InProgress, RolloutState::RolledBack)]
 fn test_rollout_version_without_outcomes_is_not_completed(
     #[case] request_rate: f64,
     #[case] is_rate_measured: bool,
+    #[case] sent: u64,
     #[case] at_first: RolloutState,
     #[case] at_last: RolloutState,
 ) {
@@ -795,6 +797,7 @@
         elapsed: Duration::from_millis(15_350),
         request_rate,
         is_rate_measured,
+        sent,
         ..simulation.view()
     };
     assert_eq!(next_stage(&view, BOUNDS).state, at_first);
