--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -51,6 +51,7 @@
 mod rollout_plan;
 mod rollout_survival;
 mod send_outcome;
+mod send_placement;
 mod serve;
 mod shutdown;
 mod sliding_counter;
--- /dev/null
+++ b/entry/src/send_placement.rs
@@ -0,0 +1,172 @@
+//! Chooses the endpoint of a send, among the versions that the service's rollout allows, and reserves a
+//! slot there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::Choice;
+use crate::Node;
+use crate::Occupancy;
+use crate::PlacementRequest;
+use crate::ServiceName;
+use crate::VersionFilter;
+use crate::VersionName;
+use crate::VersionPlan;
+use crate::VersionSide;
+use crate::attempt::Attempts;
+use crate::choose_endpoint;
+use crate::reservation::Reservation;
+use crate::rollout_driver::propagation_time;
+
+impl Attempts {
+    /// Reserves a slot at an endpoint of the versions that the service's rollout allows.
+    pub(crate) fn reserve_by_rollout(
+        &mut self,
+        node: &Arc<Node>,
+        now: Instant,
+    ) -> Result<Reservation, Choice> {
+        let is_retry = self.sends > 0;
+        let split_point = (!is_retry).then_some(self.split_point);
+        let now_ms = node.synchronized_millis();
+        let end_ms = now_ms + crate::millis(self.expected_duration(node));
+        let known_ms = self
+            .is_last_send()
+            .then(|| now_ms + crate::millis(propagation_time(node.entry_count())));
+        let rollouts = node.rollouts.lock();
+        let plan = rollouts.version_plan(&self.service, split_point, end_ms, known_ms);
+        drop(rollouts);
+        match &plan {
+            VersionPlan::Unrestricted => self.reserve_among(node, VersionFilter::Any, now),
+            VersionPlan::OldOnly(target) => {
+                self.reserve_among(node, VersionFilter::Without(target), now)
+            }
+            VersionPlan::TargetFirst(target) => self
+                .reserve_among(node, VersionFilter::Only(target), now)
+                .or_else(|_| self.reserve_among(node, VersionFilter::Without(target), now)),
+            VersionPlan::TargetIfAny(target) => {
+                let new = self.reserve_among(node, VersionFilter::Only(target), now);
+                if matches!(new, Err(Choice::NoEndpoint)) {
+                    return self.reserve_among(node, VersionFilter::Without(target), now);
+                }
+                new
+            }
+            VersionPlan::OldFirst(target) => {
+                let old = self.reserve_among(node, VersionFilter::Without(target), now);
+                if matches!(old, Err(Choice::NoEndpoint))
+                    && !has_old_endpoints(node, &self.service, target, now)
+                {
+                    return self.reserve_among(node, VersionFilter::Only(target), now);
+                }
+                old
+            }
+        }
+    }
+
+    /// Returns whether the request cannot be sent again after the next send.
+    fn is_last_send(&self) -> bool {
+        let route = &self.request.route;
+        !route.kind.is_retryable() || self.sends + 1 >= route.attempts
+    }
+
+    /// Returns a duration within which the request most likely ends.
+    fn expected_duration(&self, node: &Node) -> Duration {
+        let tokens = self.request.call.prompt.as_ref().map(|p| p.max_output);
+        let route = &self.request.route.name;
+        let mut durations = node.durations.lock();
+        let estimator = durations.entry(self.service.clone()).or_default();
+        estimator.upper_bound(route, tokens)
+    }
+
+    fn reserve_among(
+        &mut self,
+        node: &Arc<Node>,
+        versions: VersionFilter<'_>,
+        now: Instant,
+    ) -> Result<Reservation, Choice> {
+        let request = &self.request;
+        let service = request.config.services.get(&self.service);
+        let placement_request = PlacementRequest {
+            service: &self.service,
+            engine: service.and_then(|s| s.engine),
+            versions,
+            prompt: request.call.prompt.as_ref(),
+            domain: &node.settings.domain,
+            tried: &self.tried,
+            max_wait: request.route.objective.min(request.deadline - now),
+        };
+        let mut endpoints = node.endpoints.lock();
+        let (key, prefill) = match choose_endpoint(&endpoints, &placement_request, now) {
+            Choice::Send { key, prefill } => (key, prefill),
+            other => return Err(other),
+        };
+        let endpoint = endpoints.get_mut(key).ok_or(Choice::NoEndpoint)?;
+        let tokens = request
+            .call
+            .prompt
+            .as_ref()
+            .map_or(0, crate::Prompt::max_tokens);
+        let occupancy = Occupancy {
+            tokens,
+            prefill,
+            non_retryable: self.is_last_send(),
+        };
+        endpoint.load.begin(occupancy, now);
+        if let Some(prompt) = &request.call.prompt {
+            endpoint.load.record_prompt(prompt, now);
+        }
+        let id = endpoint.record.id.clone();
+        let incarnation = endpoint.record.incarnation;
+        let address = endpoint.record.address;
+        let version = endpoint.record.version.clone();
+        drop(endpoints);
+        let (side, rollout_number) = self.record_rollout_send(node, &version);
+        if prefill > 0 {
+            let mut prefilled = node.prefilled.lock();
+            *prefilled.entry(self.service.clone()).or_default() += u64::from(prefill);
+        }
+        Ok(Reservation {
+            node: Arc::clone(node),
+            key,
+            endpoint: id,
+            incarnation,
+            address,
+            occupancy,
+            service: self.service.clone(),
+            route: self.request.route.name.clone(),
+            max_output: self.request.call.prompt.as_ref().map(|p| p.max_output),
+            side,
+            rollout_number,
+            started: now,
+        })
+    }
+
+    /// Counts a send towards the evidence of an open rollout of its service.
+    ///
+    /// Returns the side of the version and the number of the running request.
+    fn record_rollout_send(
+        &self,
+        node: &Node,
+        version: &VersionName,
+    ) -> (Option<VersionSide>, Option<u64>) {
+        let mut rollouts = node.rollouts.lock();
+        let Some(side) = rollouts.side_of(&self.service, version) else {
+            return (None, None);
+        };
+        let number = rollouts.record_send(&self.service, &self.request.route.name, side);
+        (Some(side), number)
+    }
+}
+
+/// Returns whether endpoints of versions other than `target` accept requests.
+fn has_old_endpoints(
+    node: &Node,
+    service: &ServiceName,
+    target: &VersionName,
+    now: Instant,
+) -> bool {
+    let endpoints = node.endpoints.lock();
+    let mut candidates = endpoints.candidates(service, now);
+    candidates.any(|(_, e)| e.record.version != *target)
+}
