--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -288,14 +288,14 @@
     /// `split_point` is the random position of the request on the scale of shares, below
     /// [`FULL_SHARE_PERMILLE`], or `None` for a retry, which is not used to try the new version.
     /// `end_ms` is the synchronized time by which the request is expected to end, in milliseconds
-    /// since the Unix epoch. `known_ms` is the time, likewise, by which the lease holder knows of a
+    /// since the Unix epoch. `visible_ms` is the time, likewise, by which the lease holder knows of a
     /// request that cannot be sent again if it is cut, or `None` for any other.
     pub fn version_plan(
         &self,
         service: &ServiceName,
         split_point: Option<u32>,
         end_ms: u64,
-        known_ms: Option<u64>,
+        visible_ms: Option<u64>,
     ) -> VersionPlan {
         let Some(rollout) = self.services.get(service) else {
             return VersionPlan::Unrestricted;
@@ -310,7 +310,7 @@
             RolloutState::InProgress => {
                 let is_sampled = split_point.is_some_and(|point| point < stage.share);
                 let ends_too_late = stage.idle_ms.is_some_and(|idle| end_ms >= idle);
-                if ends_too_late && known_ms.is_some_and(|known| stage.may_complete_by(known)) {
+                if ends_too_late && visible_ms.is_some_and(|at| stage.may_complete_by(at)) {
                     VersionPlan::TargetIfAny(target)
                 } else if is_sampled || ends_too_late {
                     VersionPlan::TargetFirst(target)
--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -213,7 +213,7 @@
             within_ms = crate::millis(view.within),
             sent,
             exposed,
-            known = view.target_outcomes,
+            outcomes = view.target_outcomes,
             rate = view.request_rate,
             peak_rate = view.peak_rate,
             targets = view.target_endpoints,
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -69,9 +69,9 @@
 const MAX_COUNT_DELAY: Duration = Duration::from_millis(300);
 
 /// Number of outcomes of requests on the new version that suffice for its completion.
-const MIN_KNOWN_OUTCOMES: u64 = 6;
+const MIN_OUTCOMES: u64 = 6;
 
-/// Time whose requests suffice for a completion if they are fewer than [`MIN_KNOWN_OUTCOMES`].
+/// Time whose requests suffice for a completion if they are fewer than [`MIN_OUTCOMES`].
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Time after the deadline from which a version is rolled back if it is still in doubt, too little is
@@ -226,11 +226,11 @@
 
     /// Returns whether enough is known of the new version: a few outcomes, or as many as the rate of
     /// requests, now or in the mean since the order, brings in a short time.
-    fn is_known(&self) -> bool {
+    fn has_enough_evidence(&self) -> bool {
         let mean_rate = self.sent as f64 / self.elapsed.as_secs_f64().max(1.0);
         let arriving = self.request_rate.max(mean_rate) * EVIDENCE_WINDOW.as_secs_f64();
         let is_seldom_used = self.is_rate_measured && self.target_outcomes >= arriving as u64;
-        is_seldom_used || self.target_outcomes >= MIN_KNOWN_OUTCOMES
+        is_seldom_used || self.target_outcomes >= MIN_OUTCOMES
     }
 
     /// Returns whether the new version has got requests and lost all endpoints, long after the
@@ -334,7 +334,7 @@
         // The old versions serve until the new one can.
         return stage.next(RolloutState::InProgress, 0, Some(view.later_idle_ms()));
     }
-    let is_sound = view.is_known() && !view.is_in_doubt;
+    let is_sound = view.has_enough_evidence() && !view.is_in_doubt;
     if is_complete && is_sound {
         return stage.next(RolloutState::Completed, FULL_SHARE_PERMILLE, None);
     }
--- a/entry/src/send_placement.rs
+++ b/entry/src/send_placement.rs
@@ -31,11 +31,11 @@
         let split_point = (!is_retry).then_some(self.split_point);
         let now_ms = node.synchronized_millis();
         let end_ms = now_ms + crate::millis(self.expected_duration(node));
-        let known_ms = self
+        let visible_ms = self
             .is_last_send()
             .then(|| now_ms + crate::millis(propagation_time(node.entry_count())));
         let rollouts = node.rollouts.lock();
-        let plan = rollouts.version_plan(&self.service, split_point, end_ms, known_ms);
+        let plan = rollouts.version_plan(&self.service, split_point, end_ms, visible_ms);
         drop(rollouts);
         match &plan {
             VersionPlan::Unrestricted => self.reserve_among(node, VersionFilter::Any, now),
