--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -230,7 +230,7 @@
 }
 
 /// Runs gossip rounds with one peer each until the process ends, and sends urgent changes to several
-/// peers, at most once per [`MIN_URGENT_INTERVAL`].
+/// peers, at most five times a second.
 pub async fn run_gossip(node: &Arc<Node>) {
     let mut next_urgent = Instant::now();
     loop {
