rollouts: no trial before the counts of all entries are known

The rate now counts as measured after two propagation times (5.3 s with 88 entries; 1.2 s as before with up to 10), one for the order and one for the counts.

test_rollout_trial_waits_for_the_counts_of_a_large_system::case_1_early failed before with left: false, right: true.

--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -39,9 +39,13 @@
 /// Minimum share of the new version in a trial stage, in thousandths.
 const MIN_TRIAL_SHARE_PERMILLE: u32 = 5;
 
-/// Time since the order before which the new version gets no requests, because the measured
+/// Minimum time since the order before which the new version gets no requests, because the measured
 /// request rate is not reliable yet.
-const RATE_WARM_UP: Duration = Duration::from_millis(1200);
+const MIN_RATE_WARM_UP: Duration = Duration::from_millis(1200);
+
+/// That time in propagation times: the order reaches all entries in the first and their counts reach the
+/// holder in the second.
+const RATE_WARM_UP_PROPAGATIONS: u32 = 2;
 
 /// Time before the deadline from which a cutover may begin although the allowance covers only the
 /// requests of the cutover itself.
@@ -134,6 +138,12 @@
         self.within.saturating_sub(self.elapsed)
     }
 
+    /// Returns whether the measured request rate covers all entries.
+    fn is_rate_known(&self) -> bool {
+        let warm_up = self.propagation_time * RATE_WARM_UP_PROPAGATIONS;
+        self.is_rate_measured && self.elapsed >= warm_up.max(MIN_RATE_WARM_UP)
+    }
+
     /// Returns the number of requests that the new version may get in all before the deadline.
     fn limit(&self, bounds: ExposureBounds) -> f64 {
         let expected =
@@ -300,8 +310,7 @@
     if let Some(idle_ms) = stage.idle_ms {
         return next_cutover_stage(view, bounds, stage, idle_ms);
     }
-    let is_rate_known = view.is_rate_measured && view.elapsed >= RATE_WARM_UP;
-    if view.target_endpoints == 0 || !is_rate_known {
+    if view.target_endpoints == 0 || !view.is_rate_known() {
         return stage;
     }
     if view.is_cutover_due(bounds) {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -666,6 +666,27 @@
     }
 }
 
+// Guards against a trial at a rate that is far too low: in a large system the holder knows the counts of
+// few entries at first.
+#[rstest]
+#[case::early(1_470, true)]
+#[case::counts_known(5_300, false)]
+fn test_rollout_trial_waits_for_the_counts_of_a_large_system(
+    #[case] elapsed_ms: u64,
+    #[case] waits: bool,
+) {
+    let begun = stage(RolloutState::InProgress, 0, 0);
+    let view = RolloutView {
+        stage: Some(begun),
+        propagation_time: Duration::from_millis(2_640),
+        elapsed: Duration::from_millis(elapsed_ms),
+        sent: 5,
+        request_rate: 3.6,
+        ..Simulation::new(1, 3.6, 14_300, 800.0).view()
+    };
+    assert_eq!(next_stage(&view, BOUNDS) == begun, waits);
+}
+
 // Guards against a cutover that goes on until the bound is reached, while the rate of requests rises:
 // the new version gets requests until all entries know that the cutover is postponed.
 #[rstest]
