rollout: a stop's reason names the counts that it rests on

Neither reason nor log told how slow, against what, and in how many responses, so that a slow version, a busy machine and a single pause could not be told apart.

The reason now ends with the counts since the score was last zero and the latency compared with, as in "version v2 is slow on route \"look\": 12 of 20 responses took over 10 ms". Each score keeps its counts; decisions are the same.

--- a/lib/src/version_test.rs
+++ b/lib/src/version_test.rs
@@ -64,11 +64,19 @@
 /// latency is unknown.
 const SLOW_TARGET_FACTOR: u64 = 2;
 
-/// Cumulative sums of log-likelihood ratios, one for each alternative hypothesis.
+/// Cumulative sum of log-likelihood ratios, with the requests counted since it was last zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct CusumScore {
+    llr: f64,
+    bad: u64,
+    all: u64,
+}
+
+/// One score for each alternative hypothesis.
 #[derive(Clone, Copy, Debug, Default)]
 struct CusumScores {
-    failures: [f64; FAILURE_RATE_EXCESSES.len()],
-    slow: [f64; SLOW_RATE_EXCESSES.len()],
+    failures: [CusumScore; FAILURE_RATE_EXCESSES.len()],
+    slow: [CusumScore; SLOW_RATE_EXCESSES.len()],
 }
 
 /// Accumulated evidence of a route.
@@ -110,7 +118,7 @@
         for (route, windows) in self.windows(spec, evidence) {
             let state = self.routes.entry(route.clone()).or_default();
             let regression = state.test(service, &windows, first_open_window);
-            let reason = regression.map(|r| format!("version {} {r} on route {route:?}", spec.to));
+            let reason = regression.map(|r| r.describe(&spec.to, &route));
             found = found.or(reason);
         }
         self.first_open_window = self.first_open_window.max(first_open_window);
@@ -155,7 +163,7 @@
         service: &Service,
         windows: &Windows,
         first_open_window: u64,
-    ) -> Option<&'static str> {
+    ) -> Option<Regression> {
         let mut long_term = self.old.clone();
         for (_, old) in windows.values() {
             add(&mut long_term, old);
@@ -170,7 +178,7 @@
                 long_term: &long_term,
             };
             scores.update(new, baseline, slow);
-            found = found.or_else(|| scores.regression());
+            found = found.or_else(|| scores.regression(slow));
             if *window < first_open_window {
                 self.scores = scores;
                 add(&mut self.old, old);
@@ -240,23 +248,61 @@
     }
 
     /// Returns how the new version is worse, once a score exceeds the threshold.
-    fn regression(&self) -> Option<&'static str> {
-        let exceeds_threshold =
-            |scores: &[f64]| scores.iter().any(|score| *score > REGRESSION_LLR_THRESHOLD);
-        if exceeds_threshold(&self.failures) {
-            Some("fails")
-        } else if exceeds_threshold(&self.slow) {
-            Some("is slow")
-        } else {
-            None
+    fn regression(&self, slow: SlowThreshold) -> Option<Regression> {
+        let find = |scores: &[CusumScore]| {
+            let mut scores = scores.iter().copied();
+            scores.find(|score| score.llr > REGRESSION_LLR_THRESHOLD)
+        };
+        if let Some(CusumScore { bad, all, .. }) = find(&self.failures) {
+            return Some(Regression::Failing { bad, all });
+        }
+        let CusumScore { bad, all, .. } = find(&self.slow)?;
+        let bound_ms = slow.bound_ms();
+        Some(Regression::Slow { bad, all, bound_ms })
+    }
+}
+
+impl CusumScore {
+    /// Adds a window, whose log-likelihood ratio is `llr`.
+    fn add(&mut self, (bad, all): (u64, u64), llr: f64) {
+        self.llr += llr;
+        self.bad += bad;
+        self.all += all;
+        if self.llr <= 0.0 {
+            *self = Self::default();
+        }
+    }
+}
+
+/// How a new version is worse than the old one.
+#[derive(Clone, Copy, Debug)]
+enum Regression {
+    /// `bad` of `all` requests failed.
+    Failing { bad: u64, all: u64 },
+    /// `bad` of `all` responses took longer than `bound_ms` milliseconds.
+    Slow { bad: u64, all: u64, bound_ms: u64 },
+}
+
+impl Regression {
+    /// Returns the reason for operators.
+    fn describe(self, version: &VersionName, route: &str) -> String {
+        match self {
+            Self::Failing { bad, all } => {
+                format!("version {version} fails on route {route:?}: {bad} of {all} requests")
+            }
+            Self::Slow { bad, all, bound_ms } => format!(
+                "version {version} is slow on route {route:?}: {bad} of {all} responses took over \
+                 {bound_ms} ms"
+            ),
         }
     }
 }
 
 /// Adds a window to the score of each alternative hypothesis.
-fn update_scores(scores: &mut [f64], excesses: &[f64], (bad, all): (u64, u64), good_rate: f64) {
+fn update_scores(scores: &mut [CusumScore], excesses: &[f64], seen: (u64, u64), good_rate: f64) {
     for (score, excess) in scores.iter_mut().zip(excesses) {
-        *score = (*score + log_likelihood_ratio(bad, all, good_rate, *excess)).max(0.0);
+        let (bad, all) = seen;
+        score.add(seen, log_likelihood_ratio(bad, all, good_rate, *excess));
     }
 }
 
@@ -321,6 +367,12 @@
             is_relative: true,
         }
     }
+
+    /// Returns the latency, in milliseconds, above which responses are slow.
+    fn bound_ms(self) -> u64 {
+        let last = LATENCY_BOUNDS_MS.len();
+        LATENCY_BOUNDS_MS[self.bucket.min(last) - 1]
+    }
 }
 
 /// Returns the number of responses from a latency bucket on, and of all responses.
