rollout: tests of one pause of the machine during a move

A sound version with all traffic is stopped as slow after one pause that makes the requests in progress slow at once. Two tests beside them, which pass, guard against a version that stays slow or turns slow and is stopped late.

--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -237,3 +237,66 @@
         assert!(outcome.stopped_ms.is_some(), "seed {seed}: {outcome:?}");
     }
 }
+
+/// Number of windows with all requests on the old version before the new one gets all, in a test of
+/// single windows.
+const OLD_WINDOWS: u64 = 10;
+
+/// Decides while the new version, which was as good as the old one, has all traffic: its last
+/// windows have the given numbers of good and slow responses.
+fn decide_with_all_traffic(last_windows: &[(u64, u64)]) -> Decision {
+    let mut rng = StdRng::seed_from_u64(1);
+    let slow = Behaviour {
+        failure_probability: 0.0,
+        latency_ms: 400,
+    };
+    let first_window = MOVE_START_MS / 1000;
+    let mut rows: Vec<_> = (0..OLD_WINDOWS)
+        .map(|window| evidence_row(&mut rng, "v1", first_window + window, 150, GOOD))
+        .collect();
+    for (window, (good, slow_count)) in (OLD_WINDOWS..).zip(last_windows) {
+        let behaviours = [(*good, GOOD), (*slow_count, slow)];
+        let row = |(count, behaviour)| {
+            evidence_row(&mut rng, "v2", first_window + window, count, behaviour)
+        };
+        rows.extend(behaviours.map(row));
+    }
+    let now_ms = MOVE_START_MS + (OLD_WINDOWS + last_windows.len() as u64) * 1000;
+    let step = Step {
+        index: 7,
+        at: Timestamp(MOVE_START_MS + OLD_WINDOWS * 1000),
+    };
+    decide(&spec(), &service(), Some(step), &rows, Timestamp(now_ms))
+}
+
+/// Guards against a good version rolled back because one pause of the machine made all requests in
+/// progress slow at once, when the old version had no traffic that shows the same.
+#[rstest]
+#[case::at_the_start_of_a_window(&[(150, 0), (0, 12)])]
+#[case::across_two_windows(&[(10, 12), (0, 12)])]
+fn test_rollout_one_pause_of_the_machine_is_no_regression(#[case] last_windows: &[(u64, u64)]) {
+    let decision = decide_with_all_traffic(last_windows);
+    assert!(matches!(decision, Decision::Hold), "{decision:?}");
+}
+
+/// Guards against a version that turns slow with all traffic and is not stopped, because slow
+/// responses are taken for a pause of the machine.
+#[test]
+fn test_rollout_version_that_stays_slow_with_all_traffic_is_stopped() {
+    let decision = decide_with_all_traffic(&[(150, 0), (0, 12), (0, 12), (0, 4)]);
+    assert!(matches!(decision, Decision::Stop(_)), "{decision:?}");
+}
+
+/// Guards against a late stop of a version that turns slow when it has all traffic.
+#[test]
+fn test_rollout_stops_version_that_turns_slow_within_3_seconds() {
+    let slow = Behaviour {
+        failure_probability: 0.0,
+        latency_ms: 400,
+    };
+    for seed in 0..100 {
+        let outcome = simulate(seed, 200, |second, _| if second < 85 { GOOD } else { slow });
+        let stopped = outcome.stopped_ms.expect("the version is stopped");
+        assert!(stopped <= 88_000, "seed {seed}: {outcome:?}");
+    }
+}
