rollout: slow responses of one moment are no regression

A sound version was stopped and its move rolled back.

The sequential test adds up slow responses as if they were independent: five are enough. One pause of a machine makes all requests in progress slow at once, and with all traffic on the new version, the old one has nothing to compare with; so one pause of 60 ms was enough.

The slow responses of a window of one second now add at most 3.6 of the 10.6 that a score needs, and a pause falls into two windows at most: three windows must show slow responses. Failures count as before, since a pause does not cause them.

--- a/lib/src/version_test.rs
+++ b/lib/src/version_test.rs
@@ -35,6 +35,12 @@
 /// good one's.
 const SLOW_RATE_EXCESSES: [f64; 2] = [0.4, 0.6];
 
+/// Maximum log-likelihood ratio that the slow responses of one window add to a score.
+///
+/// One pause of a machine makes all requests in progress slow, and falls into two windows at most. At
+/// least three windows must therefore show slow responses.
+const MAX_SLOW_WINDOW_LLR: f64 = 3.6;
+
 /// Minimum failure rate assumed of a good version.
 const MIN_FAILURE_RATE: f64 = 0.01;
 
@@ -232,6 +238,7 @@
             &FAILURE_RATE_EXCESSES,
             failures(new),
             good_rate,
+            f64::INFINITY,
         );
         let good_rate = if slow.is_relative {
             baseline.expected_rate(|c| count_from(c, slow.bucket - 1))
@@ -244,6 +251,7 @@
             &SLOW_RATE_EXCESSES,
             seen,
             good_rate.max(MIN_SLOW_RATE),
+            MAX_SLOW_WINDOW_LLR,
         );
     }
 
@@ -298,11 +306,18 @@
     }
 }
 
-/// Adds a window to the score of each alternative hypothesis.
-fn update_scores(scores: &mut [CusumScore], excesses: &[f64], seen: (u64, u64), good_rate: f64) {
+/// Adds a window to the score of each alternative hypothesis, `max_llr` to each at most.
+fn update_scores(
+    scores: &mut [CusumScore],
+    excesses: &[f64],
+    seen: (u64, u64),
+    good_rate: f64,
+    max_llr: f64,
+) {
     for (score, excess) in scores.iter_mut().zip(excesses) {
         let (bad, all) = seen;
-        score.add(seen, log_likelihood_ratio(bad, all, good_rate, *excess));
+        let llr = log_likelihood_ratio(bad, all, good_rate, *excess);
+        score.add(seen, llr.min(max_llr));
     }
 }
 
