rollout: slow responses must hold up before a version is stopped

The cap goes. The score of slow responses counts as before, but it must still exceed its threshold half a second after the end of the window in which it first did. A pause of up to about 0.3 s is outweighed by the responses after it; those of a version that is slow are not. It also waits for the reports of all gates.

Tests, now with single responses and a decision every 200 ms in place of whole windows: - one pause of 100 to 300 ms at ten moments, at 12, 50 and 150 requests per second, stops no good version. The case of two slow windows with nothing after them is gone: that is a pause of more than a second, or a version that turned slow, and nothing known at that time tells them apart.

--- a/lib/src/version_test.rs
+++ b/lib/src/version_test.rs
@@ -35,11 +35,11 @@
 /// good one's.
 const SLOW_RATE_EXCESSES: [f64; 2] = [0.4, 0.6];
 
-/// Maximum log-likelihood ratio that the slow responses of one window add to a score.
+/// Time after the end of a window for which its slow responses must still count against a version.
 ///
-/// One pause of a machine makes all requests in progress slow, and falls into two windows at most. At
-/// least three windows must therefore show slow responses.
-const MAX_SLOW_WINDOW_LLR: f64 = 3.6;
+/// One pause of a machine makes all requests in progress slow at once; the fast ones after it then
+/// weigh more. Gates also report late by less than this.
+const SLOW_CONFIRMATION_TIME: Duration = Duration::from_millis(500);
 
 /// Minimum failure rate assumed of a good version.
 const MIN_FAILURE_RATE: f64 = 0.01;
@@ -83,6 +83,8 @@
 struct CusumScores {
     failures: [CusumScore; FAILURE_RATE_EXCESSES.len()],
     slow: [CusumScore; SLOW_RATE_EXCESSES.len()],
+    /// First window of those up to now after which a score of `slow` exceeded the threshold.
+    slow_since: Option<u64>,
 }
 
 /// Accumulated evidence of a route.
@@ -123,7 +125,7 @@
         let mut found = None;
         for (route, windows) in self.windows(spec, evidence) {
             let state = self.routes.entry(route.clone()).or_default();
-            let regression = state.test(service, &windows, first_open_window);
+            let regression = state.test(service, &windows, first_open_window, now);
             let reason = regression.map(|r| r.describe(&spec.to, &route));
             found = found.or(reason);
         }
@@ -169,6 +171,7 @@
         service: &Service,
         windows: &Windows,
         first_open_window: u64,
+        now: Timestamp,
     ) -> Option<Regression> {
         let mut long_term = self.old.clone();
         for (_, old) in windows.values() {
@@ -177,14 +180,16 @@
         let slow = SlowThreshold::of(service, &long_term);
         let mut scores = self.scores;
         let mut found = None;
-        for (window, (new, old)) in windows {
+        for (index, (window, (new, old))) in windows.iter().enumerate() {
             let baseline = Baseline {
                 same_window: old,
                 nearby: &nearby_counters(windows, *window),
                 long_term: &long_term,
             };
-            scores.update(new, baseline, slow);
-            found = found.or_else(|| scores.regression(slow));
+            scores.update(*window, new, baseline, slow);
+            let next_window = windows.get_index(index + 1);
+            let valid_until = next_window.map_or(now, |(next, _)| window_start(*next));
+            found = found.or_else(|| scores.regression(slow, valid_until));
             if *window < first_open_window {
                 self.scores = scores;
                 add(&mut self.old, old);
@@ -230,7 +235,7 @@
 
 impl CusumScores {
     /// Adds a window of the new version to the scores.
-    fn update(&mut self, new: &Counters, baseline: Baseline<'_>, slow: SlowThreshold) {
+    fn update(&mut self, window: u64, new: &Counters, baseline: Baseline<'_>, slow: SlowThreshold) {
         let failures = |c: &Counters| (c.failed, c.ok + c.failed);
         let good_rate = baseline.expected_rate(failures).max(MIN_FAILURE_RATE);
         update_scores(
@@ -238,7 +243,6 @@
             &FAILURE_RATE_EXCESSES,
             failures(new),
             good_rate,
-            f64::INFINITY,
         );
         let good_rate = if slow.is_relative {
             baseline.expected_rate(|c| count_from(c, slow.bucket - 1))
@@ -251,25 +255,40 @@
             &SLOW_RATE_EXCESSES,
             seen,
             good_rate.max(MIN_SLOW_RATE),
-            MAX_SLOW_WINDOW_LLR,
         );
+        let is_slow = find_exceeding(&self.slow).is_some();
+        self.slow_since = is_slow.then(|| self.slow_since.unwrap_or(window));
     }
 
-    /// Returns how the new version is worse, once a score exceeds the threshold.
-    fn regression(&self, slow: SlowThreshold) -> Option<Regression> {
-        let find = |scores: &[CusumScore]| {
-            let mut scores = scores.iter().copied();
-            scores.find(|score| score.llr > REGRESSION_LLR_THRESHOLD)
-        };
-        if let Some(CusumScore { bad, all, .. }) = find(&self.failures) {
+    /// Returns how the new version is worse, once a score exceeds the threshold and, for slow
+    /// responses, has done so for long enough.
+    ///
+    /// `valid_until` is the time at which the next window changes the scores.
+    fn regression(&self, slow: SlowThreshold, valid_until: Timestamp) -> Option<Regression> {
+        if let Some(CusumScore { bad, all, .. }) = find_exceeding(&self.failures) {
             return Some(Regression::Failing { bad, all });
         }
-        let CusumScore { bad, all, .. } = find(&self.slow)?;
+        let since = window_start(self.slow_since? + 1);
+        if valid_until.since(since) < SLOW_CONFIRMATION_TIME {
+            return None;
+        }
+        let CusumScore { bad, all, .. } = find_exceeding(&self.slow)?;
         let bound_ms = slow.bound_ms();
         Some(Regression::Slow { bad, all, bound_ms })
     }
 }
 
+/// Returns a score that exceeds the threshold.
+fn find_exceeding(scores: &[CusumScore]) -> Option<CusumScore> {
+    let mut scores = scores.iter().copied();
+    scores.find(|score| score.llr > REGRESSION_LLR_THRESHOLD)
+}
+
+/// Returns the time at which a window begins.
+fn window_start(window: u64) -> Timestamp {
+    Timestamp(window * EVIDENCE_WINDOW_MS)
+}
+
 impl CusumScore {
     /// Adds a window, whose log-likelihood ratio is `llr`.
     fn add(&mut self, (bad, all): (u64, u64), llr: f64) {
@@ -306,18 +325,16 @@
     }
 }
 
-/// Adds a window to the score of each alternative hypothesis, `max_llr` to each at most.
+/// Adds a window to the score of each alternative hypothesis.
 fn update_scores(
     scores: &mut [CusumScore],
     excesses: &[f64],
-    seen: (u64, u64),
+    (bad, all): (u64, u64),
     good_rate: f64,
-    max_llr: f64,
 ) {
     for (score, excess) in scores.iter_mut().zip(excesses) {
-        let (bad, all) = seen;
         let llr = log_likelihood_ratio(bad, all, good_rate, *excess);
-        score.add(seen, llr.min(max_llr));
+        score.add((bad, all), llr);
     }
 }
 
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -238,53 +238,154 @@
     }
 }
 
-/// Number of windows with all requests on the old version before the new one gets all, in a test of
-/// single windows.
-const OLD_WINDOWS: u64 = 10;
+/// Time since the start of the move from which the new version has all traffic, in milliseconds.
+const FULL_TRAFFIC_MS: u64 = 40_000;
 
-/// Decides while the new version, which was as good as the old one, has all traffic: its last
-/// windows have the given numbers of good and slow responses.
-fn decide_with_all_traffic(last_windows: &[(u64, u64)]) -> Decision {
-    let mut rng = StdRng::seed_from_u64(1);
-    let slow = Behaviour {
-        failure_probability: 0.0,
-        latency_ms: 400,
-    };
-    let first_window = MOVE_START_MS / 1000;
-    let mut rows: Vec<_> = (0..OLD_WINDOWS)
-        .map(|window| evidence_row(&mut rng, "v1", first_window + window, 150, GOOD))
-        .collect();
-    for (window, (good, slow_count)) in (OLD_WINDOWS..).zip(last_windows) {
-        let behaviours = [(*good, GOOD), (*slow_count, slow)];
-        let row = |(count, behaviour)| {
-            evidence_row(&mut rng, "v2", first_window + window, count, behaviour)
+/// Interval between decisions, in milliseconds.
+const DECISION_INTERVAL_MS: u64 = 200;
+
+/// Response of a simulated version, with times in milliseconds since the start of the move.
+#[derive(Clone, Copy, Debug)]
+struct Response {
+    sent_ms: u64,
+    latency_ms: u64,
+}
+
+impl Response {
+    fn end_ms(self) -> u64 {
+        self.sent_ms + self.latency_ms
+    }
+
+    /// Returns the response as it arrives if the machine is suspended from `start_ms` on for
+    /// `pause_ms`.
+    fn with_pause(self, start_ms: u64, pause_ms: u64) -> Self {
+        let resumed_ms = start_ms + pause_ms;
+        if self.end_ms() <= start_ms || self.sent_ms >= resumed_ms {
+            return self;
+        }
+        let delay_ms = resumed_ms - self.sent_ms.max(start_ms);
+        let latency_ms = self.latency_ms + delay_ms;
+        Self { latency_ms, ..self }
+    }
+
+    fn evidence_row(self) -> EvidenceRow {
+        let version = if self.sent_ms < FULL_TRAFFIC_MS {
+            "v1"
+        } else {
+            "v2"
         };
-        rows.extend(behaviours.map(row));
+        let mut latency = vec![0; LATENCY_BOUNDS_MS.len() + 1];
+        latency[LATENCY_BOUNDS_MS.partition_point(|b| *b < self.latency_ms)] = 1;
+        EvidenceRow {
+            key: EvidenceKey {
+                service: ServiceName::new("hire-desk").unwrap(),
+                version: VersionName::new(version).unwrap(),
+                route: String::new(),
+                window: (MOVE_START_MS + self.end_ms()) / 1000,
+            },
+            sum: Counters {
+                ok: 1,
+                latency,
+                ..Counters::default()
+            },
+        }
     }
-    let now_ms = MOVE_START_MS + (OLD_WINDOWS + last_windows.len() as u64) * 1000;
-    let step = Step {
-        index: 7,
-        at: Timestamp(MOVE_START_MS + OLD_WINDOWS * 1000),
+}
+
+/// Returns the responses of two good versions at `rate` requests per second, until 12 s after the new
+/// one has got all traffic.
+fn good_responses(seed: u64, rate: u64) -> Vec<Response> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let count = (FULL_TRAFFIC_MS + 12_000) * rate / 1000;
+    let response = |number| Response {
+        sent_ms: number * 1000 / rate,
+        latency_ms: rng.random_range(20..60),
     };
-    decide(&spec(), &service(), Some(step), &rows, Timestamp(now_ms))
+    (0..count).map(response).collect()
+}
+
+/// Returns the time since the start of the move at which the new version is stopped, in milliseconds.
+fn stop_time_ms(responses: &[Response]) -> Option<u64> {
+    let (spec, service) = (spec(), service());
+    let step = Some(Step {
+        index: 7,
+        at: Timestamp(MOVE_START_MS + FULL_TRAFFIC_MS),
+    });
+    let mut responses = responses.to_vec();
+    responses.sort_by_key(|r| r.end_ms());
+    let rows: Vec<_> = responses.iter().map(|r| r.evidence_row()).collect();
+    let end_ms = FULL_TRAFFIC_MS + 12_000;
+    let mut times_ms = (FULL_TRAFFIC_MS..end_ms).step_by(DECISION_INTERVAL_MS as usize);
+    times_ms.find(|now_ms| {
+        let known = responses.partition_point(|r| r.end_ms() <= *now_ms);
+        let now = Timestamp(MOVE_START_MS + now_ms);
+        let decision = decide(&spec, &service, step, &rows[..known], now);
+        matches!(decision, Decision::Stop(_))
+    })
 }
 
 /// Guards against a good version rolled back because one pause of the machine made all requests in
 /// progress slow at once, when the old version had no traffic that shows the same.
 #[rstest]
-#[case::at_the_start_of_a_window(&[(150, 0), (0, 12)])]
-#[case::across_two_windows(&[(10, 12), (0, 12)])]
-fn test_rollout_one_pause_of_the_machine_is_no_regression(#[case] last_windows: &[(u64, u64)]) {
-    let decision = decide_with_all_traffic(last_windows);
-    assert!(matches!(decision, Decision::Hold), "{decision:?}");
+fn test_rollout_one_pause_of_the_machine_is_no_regression(
+    #[values(12, 50, 150)] rate: u64,
+    #[values(100, 200, 300)] pause_ms: u64,
+) {
+    for offset_ms in (0..1000).step_by(100) {
+        let start_ms = FULL_TRAFFIC_MS + 5_000 + offset_ms;
+        let mut responses = good_responses(offset_ms, rate);
+        for response in &mut responses {
+            *response = response.with_pause(start_ms, pause_ms);
+        }
+        assert_eq!(stop_time_ms(&responses), None, "offset {offset_ms}");
+    }
 }
 
-/// Guards against a version that turns slow with all traffic and is not stopped, because slow
-/// responses are taken for a pause of the machine.
-#[test]
-fn test_rollout_version_that_stays_slow_with_all_traffic_is_stopped() {
-    let decision = decide_with_all_traffic(&[(150, 0), (0, 12), (0, 12), (0, 4)]);
-    assert!(matches!(decision, Decision::Stop(_)), "{decision:?}");
+/// Guards against a late stop of a version that turns slow with all traffic, because slow responses
+/// are taken for a pause of the machine.
+#[rstest]
+fn test_rollout_version_that_turns_slow_with_all_traffic_is_stopped(
+    #[values(2, 12, 150)] rate: u64,
+) {
+    for offset_ms in (0..1000).step_by(100) {
+        let start_ms = FULL_TRAFFIC_MS + 5_000 + offset_ms;
+        let mut responses = good_responses(offset_ms, rate);
+        let is_slow = |r: &&mut Response| r.sent_ms >= start_ms;
+        for response in responses.iter_mut().filter(is_slow) {
+            response.latency_ms *= 10;
+        }
+        let mut slow_ends: Vec<_> = responses.iter().filter(|r| r.sent_ms >= start_ms).collect();
+        slow_ends.sort_by_key(|r| r.end_ms());
+        let sixth_ms = slow_ends[5].end_ms();
+        let stopped_ms = stop_time_ms(&responses).expect("the version is stopped");
+        assert!(stopped_ms <= sixth_ms + 2_000, "offset {offset_ms}");
+    }
+}
+
+/// Guards against a version that is slow in some seconds only, or for some requests only, and is never
+/// stopped because its other responses weigh more.
+#[rstest]
+#[case::every_other_second(10, |r: &Response| (r.sent_ms / 1000).is_multiple_of(2))]
+#[case::every_other_second_busy(50, |r: &Response| (r.sent_ms / 1000).is_multiple_of(2))]
+#[case::three_of_ten(50, |r: &Response| r.latency_ms % 10 < 3)]
+fn test_rollout_version_that_is_sometimes_slow_is_stopped(
+    #[case] rate: u64,
+    #[case] is_slow: fn(&Response) -> bool,
+) {
+    for seed in 0..20 {
+        let mut responses = good_responses(seed, rate);
+        let new = responses
+            .iter_mut()
+            .filter(|r| r.sent_ms >= FULL_TRAFFIC_MS);
+        for response in new.filter(|r| is_slow(r)) {
+            response.latency_ms *= 10;
+        }
+        let stopped_ms = stop_time_ms(&responses).expect("the version is stopped");
+        assert!(
+            stopped_ms <= FULL_TRAFFIC_MS + 10_000,
+            "seed {seed}: {stopped_ms}"
+        );
+    }
 }
 
 /// Guards against a late stop of a version that turns slow when it has all traffic.
--- a/programs/tests/test_moves.rs
+++ b/programs/tests/test_moves.rs
@@ -36,11 +36,11 @@
 
 /// Regression of a version that fails, with the number of failures that makes it detectable; a lower
 /// one would stop a good version in more than one of 10,000 moves.
-const FAILING: Regression = (4, has_failed);
+const FAILING: Detectable = (4, has_failed);
 
 /// Regression of a version that is slow, with the number of slow responses that makes it detectable;
 /// good versions have occasional slow responses too.
-const SLOW: Regression = (6, is_slow_on_new_version);
+const SLOW: Detectable = (6, is_slow_on_new_version);
 
 /// Time between two checks of the responses.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -55,7 +55,7 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Number of bad responses that makes a regression detectable, and which responses are bad.
-type Regression = (usize, fn(&Sample) -> bool);
+type Detectable = (usize, fn(&Sample) -> bool);
 
 fn routes() -> Vec<Route> {
     let route = |prefix: &str, repeatable| Route {
@@ -144,11 +144,11 @@
     sample.status >= 500
 }
 
-/// Returns whether the new version was slow to respond.
+/// Returns whether a request failed or the new version was slow to respond.
 ///
 /// On a busy machine the old version and the gates are slow too, which says nothing of the new one.
 fn is_slow_on_new_version(sample: &Sample) -> bool {
-    sample.version() == "v2" && sample.latency >= SLOW_LATENCY
+    has_failed(sample) || sample.version() == "v2" && sample.latency >= SLOW_LATENCY
 }
 
 /// Checks that the new version gets no requests from [`MAX_STOP_DELAY`] after its `count`-th bad
@@ -159,7 +159,7 @@
 async fn check_stopped(
     deployment: &Deployment,
     load: &Load,
-    (count, is_bad): Regression,
+    (count, is_bad): Detectable,
     timeout: Duration,
 ) {
     let give_up_at = Instant::now() + timeout;
@@ -221,8 +221,8 @@
     let watch = MoveWatch::start(&deployment, 1, &spec.name).await;
     set_log_outage(&deployment, outage).await;
     let is_slow = faults["slow_factor"].is_number();
-    let regression = if is_slow { SLOW } else { FAILING };
-    check_stopped(&deployment, &load, regression, Duration::from_secs(14)).await;
+    let detectable = if is_slow { SLOW } else { FAILING };
+    check_stopped(&deployment, &load, detectable, Duration::from_secs(14)).await;
     let new = count_runs(&deployment, ["new-1", "new-2"]).await as f64;
     let old = count_runs(&deployment, ["old-1", "old-2"]).await as f64;
     assert!(
