crash: failures of leaving endpoints and bad versions count against no request

What callers would see: a request that three leaving endpoints had cut when they stopped, or three endpoints of a new version that broke connections and was rolled back, was refused as `crashing` for two minutes at every entry, although it crashed nothing.

Cause: a broken connection was recorded against the whole request before it was checked whether the endpoint was still serving and whether its version had been rolled back; only prompt parts had these checks. Nothing took the crashes back on a rollback either.

Evidence, on the code before (test_crash_requests, new): failures_of_a_bad_version_are_blamed_on_no_request::case_1_new_version ... FAILED failures_of_a_bad_version_are_blamed_on_no_request::case_2_new_version_after_the_rollback ... FAILED failures_of_leaving_endpoints_are_blamed_on_no_request::case_2_draining ... FAILED failures_of_leaving_endpoints_are_blamed_on_no_request::case_3_removed ... FAILED peers_do_not_bring_back_failures_of_a_bad_version::case_1_rolled_back ...

Both checks now come first, for requests as for parts. On a rollback an entry forgets the crashes of the incarnations of the target that it lists, its own and those of peers. Peers report crashes of requests without the time, so their reports of these incarnations are ignored for two minutes, which is as long as a crash counts. Each crash now holds its own time, so that the age of what remains is right.

--- a/entry/src/crash.rs
+++ b/entry/src/crash.rs
@@ -12,16 +12,16 @@
 /// Number of endpoint processes that a request must have crashed to be refused.
 const CRASH_THRESHOLD: usize = 3;
 
-/// Time after a request's last new crash for which its crashes count.
+/// Time after a request's last new crash for which its crashes count, and for which peers' reports
+/// of an endpoint whose crashes were forgotten are ignored.
 const CRASH_RETENTION: Duration = Duration::from_mins(2);
 
 /// Maximum number of tracked requests; beyond it, the one tracked for longest is dropped.
 const MAX_TRACKED_REQUESTS: usize = 512;
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct RequestCrashes {
     endpoints: Vec<EndpointCrash>,
-    last_crash: Instant,
 }
 
 #[derive(Debug)]
@@ -30,6 +30,7 @@
     /// Incarnation of the endpoint; `None` if a peer did not report it.
     incarnation: Option<u64>,
     source: Source,
+    at: Instant,
 }
 
 /// Who saw an endpoint fail.
@@ -43,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     requests: IndexMap<Fingerprint, RequestCrashes>,
+    /// Endpoints whose crashes were forgotten, each with the incarnation and the time.
+    forgotten: IndexMap<EndpointId, (u64, Instant)>,
 }
 
 impl CrashTracker {
@@ -61,8 +64,8 @@
 
     /// Records that a peer saw an endpoint fail while it ran the request.
     ///
-    /// Returns whether that was not yet known. It is not passed on, as the peer's own state reaches
-    /// every entry.
+    /// Returns whether that counts and was not yet known. It is not passed on, as the peer's own
+    /// state reaches every entry.
     pub fn record_peer_crash(
         &mut self,
         request: Fingerprint,
@@ -70,7 +73,27 @@
         incarnation: Option<u64>,
         now: Instant,
     ) -> bool {
-        self.record(request, endpoint, incarnation, Source::Peer, now)
+        !self.is_forgotten(endpoint, incarnation, now)
+            && self.record(request, endpoint, incarnation, Source::Peer, now)
+    }
+
+    /// Forgets the crashes of an incarnation of an endpoint, also those that peers still report.
+    pub(crate) fn forget_crashes(&mut self, endpoint: &EndpointId, incarnation: u64, now: Instant) {
+        self.forgotten.retain(|_, (_, at)| is_recent(*at, now));
+        self.forgotten.insert(endpoint.clone(), (incarnation, now));
+        for crashes in self.requests.values_mut() {
+            let crashes = &mut crashes.endpoints;
+            crashes.retain(|crash| !crash.is_of(endpoint, Some(incarnation)));
+        }
+    }
+
+    /// Returns whether an endpoint's crashes were forgotten so lately that peers may still report
+    /// them.
+    fn is_forgotten(&self, endpoint: &EndpointId, incarnation: Option<u64>, now: Instant) -> bool {
+        let forgotten = self.forgotten.get(endpoint);
+        forgotten.is_some_and(|(known, at)| {
+            is_recent(*at, now) && is_same_incarnation(Some(*known), incarnation)
+        })
     }
 
     fn record(
@@ -85,24 +108,16 @@
         if self.requests.len() >= MAX_TRACKED_REQUESTS && !self.requests.contains_key(&request) {
             self.requests.shift_remove_index(0);
         }
-        let crashes = self
-            .requests
-            .entry(request)
-            .or_insert_with(|| RequestCrashes {
-                endpoints: Vec::new(),
-                last_crash: now,
-            });
-        let is_same_incarnation =
-            |known: Option<u64>| known.is_none() || incarnation.is_none() || known == incarnation;
+        let crashes = self.requests.entry(request).or_default();
         let mut known = crashes.endpoints.iter();
-        if known.any(|c| c.endpoint == *endpoint && is_same_incarnation(c.incarnation)) {
+        if known.any(|crash| crash.is_of(endpoint, incarnation)) {
             return false;
         }
-        crashes.last_crash = now;
         crashes.endpoints.push(EndpointCrash {
             endpoint: endpoint.clone(),
             incarnation,
             source,
+            at: now,
         });
         true
     }
@@ -138,7 +153,8 @@
 impl RequestCrashes {
     /// Returns whether the crashes still count.
     fn is_live(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_crash) < CRASH_RETENTION
+        let mut crashes = self.endpoints.iter();
+        crashes.any(|crash| is_recent(crash.at, now))
     }
 
     /// Returns the crashes that this entry saw itself.
@@ -147,3 +163,20 @@
         crashes.filter(|crash| crash.source == Source::Own)
     }
 }
+
+impl EndpointCrash {
+    /// Returns whether an endpoint crashed, and not another incarnation of it.
+    fn is_of(&self, endpoint: &EndpointId, incarnation: Option<u64>) -> bool {
+        self.endpoint == *endpoint && is_same_incarnation(self.incarnation, incarnation)
+    }
+}
+
+/// Returns whether two incarnations of an endpoint are the same, as far as both are known.
+fn is_same_incarnation(first: Option<u64>, second: Option<u64>) -> bool {
+    first.is_none() || second.is_none() || first == second
+}
+
+/// Returns whether a time is so recent that a crash then still counts.
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < CRASH_RETENTION
+}
--- a/entry/src/rollback.rs
+++ b/entry/src/rollback.rs
@@ -1,5 +1,5 @@
-//! Crashes at endpoints of a version that was rolled back: they are blamed on the version, not on prompt
-//! parts of the requests that ran there.
+//! Crashes at endpoints of a version that was rolled back: they are blamed on the version, not on
+//! the requests that ran there, nor on parts of their prompts.
 
 use tokio::time::Instant;
 
@@ -13,28 +13,33 @@
 impl Node {
     /// Merges a rollout; returns whether it brought a newer order or a later stage.
     ///
-    /// Once it is rolled back, the crashes so far at endpoints of its target that are still listed no
-    /// longer count against prompt parts.
+    /// Once it is rolled back, the crashes so far at endpoints of its target that are still listed
+    /// no longer count against requests and prompt parts.
     pub fn merge_rollout(&self, rollout: &Rollout) -> bool {
         let is_newer = self.rollouts.lock().merge(rollout);
         if is_newer && is_rolled_back(rollout) {
-            self.forget_part_crashes(rollout);
+            self.forget_crashes(rollout);
         }
         is_newer
     }
 
-    fn forget_part_crashes(&self, rollout: &Rollout) {
+    fn forget_crashes(&self, rollout: &Rollout) {
         let order = &rollout.order;
         let endpoints = self.endpoints.lock();
         let records = endpoints.iter().map(|(_, endpoint)| &endpoint.record);
         let processes: Vec<_> = records
             .filter(|r| r.service == order.service && r.version == order.target)
-            .map(|r| EndpointProcess::new(&r.id, r.incarnation))
+            .map(|r| (r.id.clone(), r.incarnation))
             .collect();
         drop(endpoints);
-        let mut tracker = self.part_crashes.lock();
-        for process in processes {
-            tracker.forget_crashes(process, Instant::now());
+        let now = Instant::now();
+        for (id, incarnation) in processes {
+            let process = EndpointProcess::new(&id, incarnation);
+            let mut requests = self.crashes.lock();
+            requests.forget_crashes(&id, incarnation, now);
+            drop(requests);
+            let mut parts = self.part_crashes.lock();
+            parts.forget_crashes(process, now);
         }
     }
 }
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -50,15 +50,17 @@
     }
 }
 
-/// Records that the endpoint seems to have crashed under the request.
+/// Records that the endpoint seems to have crashed under the request, unless it was leaving or its
+/// version was rolled back.
 fn record_crash(node: &Node, request: &AdmittedRequest, reservation: &Reservation, now: Instant) {
+    if !reservation.is_endpoint_serving(now) || reservation.is_rolled_back() {
+        return;
+    }
     let mut crashes = node.crashes.lock();
     let incarnation = reservation.incarnation;
     crashes.record_crash(request.fingerprint, &reservation.endpoint, incarnation, now);
     drop(crashes);
-    if reservation.is_endpoint_serving(now) && !reservation.is_rolled_back() {
-        record_part_crashes(node, &request.call, reservation, now);
-    }
+    record_part_crashes(node, &request.call, reservation, now);
 }
 
 /// Records a crash of the endpoint under each part of the request that others may hold too.
