relay: a body that states its end and ends within an event is no crash

What callers would see: a server that omits the last empty line of its streams got its sound requests refused: after three such streams every entry refused the request, and requests with a part of its prompt, as `crashing`.

Cause: a stream that ended within an event counted as a broken connection, whatever its framing, and a broken connection counts as a crash of the endpoint process.

Evidence, on the code before (test_crash_requests): end_within_an_event_is_no_crash_if_the_body_states_it::case_1_stated_end ... FAILED end_within_an_event_is_no_crash_if_the_body_states_it::case_2_stated_end_within_a_line ... FAILED assertion `left == right` failed left: true right: false Its cases of a body that ends with its connection and of a reset passed before and pass now.

A length that is reached or a last chunk shows that the process ended the body itself, so such a stream is now an invalid response: it counts in the endpoint's load and in a rollout as before, and it is resumed as before, but it is no crash. A body that ends with its connection within an event is still a broken connection, as the stream has been broken off. `test_serve_stream_resumes_after_the_last_complete_event` gains the two orderly ends; they passed before, too. test_framing of the platform passed, 94 tests.

The tests give each endpoint one request, as the placement of prompts is random.

--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -73,6 +73,17 @@
     fn may_be_cut(&self) -> bool {
         !self.has_event && !self.body.states_end()
     }
+
+    /// Returns how the stream was interrupted if its body ended within an event: a body that states
+    /// its end is complete, so that its connection has not been broken off.
+    fn end_within_event(&self) -> Interruption {
+        let reason = "stream ended within an event".to_owned();
+        if self.body.states_end() {
+            Interruption::InvalidResponse(reason)
+        } else {
+            Interruption::ConnectionBroken(reason)
+        }
+    }
 }
 
 /// Outcome of reading from an endpoint's stream.
@@ -223,8 +234,7 @@
             }
             Ok(Err(interruption)) => return ReadOutcome::Failed(interruption),
             Ok(Ok(None)) if splitter.has_partial() => {
-                let reason = "stream ended within an event".to_owned();
-                return ReadOutcome::Failed(Interruption::ConnectionBroken(reason));
+                return ReadOutcome::Failed(source.end_within_event());
             }
             Ok(Ok(None)) if source.may_be_cut() => {
                 let reason = "connection ended before the first event".to_owned();
--- a/entry/tests/test_crash_requests.rs
+++ b/entry/tests/test_crash_requests.rs
@@ -5,12 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornrack_entry::Call;
 use hawthornrack_entry::CallerResponse;
 use hawthornrack_entry::EndpointId;
 use hawthornrack_entry::EndpointRecord;
 use hawthornrack_entry::EventRelay;
 use hawthornrack_entry::GossipRequest;
 use hawthornrack_entry::Node;
+use hawthornrack_entry::PartId;
+use hawthornrack_entry::Prompt;
+use hawthornrack_entry::PromptPart;
 use hawthornrack_entry::RefusalKind;
 use hawthornrack_entry::Rollout;
 use hawthornrack_entry::RolloutOrder;
@@ -22,6 +26,7 @@
 use hawthornrack_entry::handle_exchange;
 use hawthornrack_entry::serve;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rstest::rstest;
 use testutils::ScriptedClient;
 use testutils::ScriptedSend;
@@ -34,6 +39,12 @@
 /// Number of endpoints that fail; as many crashes are enough to refuse a request.
 const FAILURES: usize = 3;
 
+/// Prompt part that the requests have in common with others.
+const SHARED_PART: PartId = PartId(7);
+
+/// An event that lacks its last empty line.
+const UNENDED: &str = "id: 2\ndata: b\n";
+
 /// An event of a stream.
 const EVENT: &str = "id: 1\ndata: a\n\n";
 
@@ -59,21 +70,52 @@
     node
 }
 
+/// Returns a request with a shared prompt part; all requests are the same but for their id.
+fn request(id: &str) -> Call {
+    let parts = [SHARED_PART, PartId(8)].map(|id| PromptPart { id, tokens: 10 });
+    Call {
+        prompt: Some(Prompt {
+            parts: parts.to_vec(),
+            input: 20,
+            max_output: 10,
+            hint: None,
+        }),
+        ..call(id)
+    }
+}
+
 /// Starts the same request at every endpoint; all streams break after their first event.
 async fn start_streams(node: &Arc<Node>) -> Vec<EventRelay<ScriptedClient>> {
-    let broken = ScriptedSend::Stream(vec![EVENT], Err("reset"));
-    let client = ScriptedClient::new(std::iter::repeat_n(broken, FAILURES));
+    start_scripted(node, ScriptedSend::Stream(vec![EVENT], Err("reset"))).await
+}
+
+/// Starts the same request at every endpoint.
+async fn start_scripted(node: &Arc<Node>, script: ScriptedSend) -> Vec<EventRelay<ScriptedClient>> {
+    let client = ScriptedClient::new(std::iter::repeat_n(script, FAILURES));
     let mut streams = Vec::new();
     for _ in 0..FAILURES {
-        let response = serve(node, &client, call("1")).await;
+        let response = serve(node, &client, request("1")).await;
         let CallerResponse::Stream { events, .. } = response else {
             panic!("no stream: {response:?}");
         };
         streams.push(*events);
+        let used = client.seen.lock().last().unwrap().endpoint.clone();
+        pause_endpoint(node, &used);
     }
+    let seen = client.seen.lock();
+    let endpoints: IndexSet<_> = seen.iter().map(|s| &s.endpoint).collect();
+    assert_eq!(endpoints.len(), FAILURES, "{seen:?}");
     streams
 }
 
+/// Keeps the next requests from an endpoint.
+fn pause_endpoint(node: &Node, id: &str) {
+    let mut endpoints = node.endpoints.lock();
+    let endpoint = endpoints.by_id_mut(&EndpointId::from(id)).unwrap();
+    let pause = Duration::from_millis(100);
+    endpoint.load.pause(pause, Instant::now());
+}
+
 /// Reads streams until they break.
 async fn break_streams(streams: Vec<EventRelay<ScriptedClient>>) {
     for mut events in streams {
@@ -89,7 +131,7 @@
     // Endpoints of a newly listed version accept requests only after a delay.
     tokio::time::sleep(Duration::from_secs(2)).await;
     let client = ScriptedClient::new([ScriptedSend::Respond(200)]);
-    match serve(node, &client, call("2")).await {
+    match serve(node, &client, request("2")).await {
         CallerResponse::Whole { status: 200, .. } => false,
         CallerResponse::Refused(refusal) if refusal.kind == RefusalKind::Crashing => true,
         response => panic!("{response:?}"),
@@ -210,3 +252,23 @@
     break_streams(start_streams(&node).await).await;
     assert!(is_refused(&node).await);
 }
+
+// Guards against a request and a prompt part that are refused because servers end their streams
+// without the last empty line; one that ends so with its connection was broken off.
+#[rstest]
+#[case::stated_end(ScriptedSend::Stream(vec![EVENT, UNENDED], Ok(())), false)]
+#[case::stated_end_within_a_line(ScriptedSend::Stream(vec![EVENT, "id: 2\nda"], Ok(())), false)]
+#[case::end_of_connection(ScriptedSend::Unframed(vec![EVENT, UNENDED]), true)]
+#[case::reset(ScriptedSend::Stream(vec![EVENT, UNENDED], Err("reset")), true)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_requests_end_within_an_event_is_no_crash_if_the_body_states_it(
+    #[case] script: ScriptedSend,
+    #[case] crashing: bool,
+) {
+    let node = node("entry-1", "v1");
+    break_streams(start_scripted(&node, script).await).await;
+    let now = Instant::now();
+    let is_blamed = node.part_crashes.lock().is_crashing(&[SHARED_PART], now);
+    assert_eq!(is_blamed, crashing);
+    assert_eq!(is_refused(&node).await, crashing);
+}
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -278,16 +278,20 @@
     assert_eq!(refusal.kind, RefusalKind::Crashing);
 }
 
+/// Chunks of a stream that ends within its third event.
+const CUT_CHUNKS: [&str; 2] = ["id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\nid: 3\nda"];
+
 // A stream that breaks within an event must resume after the last complete event, without losing
-// or repeating an event.
+// or repeating an event, however its body ended.
+#[rstest]
+#[case::reset(ScriptedSend::Stream(CUT_CHUNKS.to_vec(), Err("reset")))]
+#[case::stated_end(ScriptedSend::Stream(CUT_CHUNKS.to_vec(), Ok(())))]
+#[case::end_of_connection(ScriptedSend::Unframed(CUT_CHUNKS.to_vec()))]
 #[tokio::test(start_paused = true)]
-async fn test_serve_stream_resumes_after_the_last_complete_event() {
+async fn test_serve_stream_resumes_after_the_last_complete_event(#[case] cut: ScriptedSend) {
     let node = node(config(RouteKind::ResumableStream), 4);
     let client = ScriptedClient::new([
-        ScriptedSend::Stream(
-            vec!["id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\nid: 3\nda"],
-            Err("reset"),
-        ),
+        cut,
         ScriptedSend::Stream(vec!["id: 3\ndata: c\n\n"], Ok(())),
     ]);
     let (text, error) = read_stream(serve(&node, &client, call("1")).await).await;
