relay: a response to a resumed stream is recorded by its status

What callers would see: a new version that answered resumed streams with 5xx was rolled back later than it should, since none of these failures was in its evidence; and requests with a sound prompt part stayed refused although an endpoint blamed for it had responded since.

Cause: when a resume was answered with a status of 4xx or 5xx and no further send was allowed, the relay dropped the reservation. Load, evidence, duration estimates and `record_alive` learnt nothing of it.

`Attempts::record_response` now holds what `build_response` did for a complete response, and both call it.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -325,6 +325,24 @@
         self.kind().is_retryable() && self.sends < self.request.route.attempts
     }
 
+    /// Records a complete response by its status.
+    pub(crate) fn record_response(
+        &self,
+        node: &Node,
+        reservation: &Reservation,
+        status: u16,
+        states_end: bool,
+    ) {
+        if status >= 500 {
+            reservation.record_failed_response();
+            return;
+        }
+        reservation.record_success(Instant::now());
+        if (200..300).contains(&status) {
+            self.record_completed(node, reservation, states_end);
+        }
+    }
+
     /// Records that an endpoint ran the request to its end, unless the response ended with its
     /// connection, which may also be how the endpoint crashed.
     pub(crate) fn record_completed(
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -210,13 +210,22 @@
         let run = self.attempts.run(&self.node, &*self.client).await;
         let (response, reservation) =
             run.map_err(|refusal| StreamBroken(refusal.kind.to_string()))?;
-        let EndpointResponse { status, body, .. } = response;
+        let EndpointResponse {
+            status,
+            body,
+            states_end,
+            ..
+        } = response;
         match body {
             ResponseBody::Stream(body) if status < 300 => {
                 self.source = Some(Source::new(body, reservation));
                 Ok(())
             }
-            _ => Err(StreamBroken(format!("resume failed with status {status}"))),
+            _ => {
+                self.attempts
+                    .record_response(&self.node, &reservation, status, states_end);
+                Err(StreamBroken(format!("resume failed with status {status}")))
+            }
         }
     }
 }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -255,14 +255,7 @@
     }
     match body {
         ResponseBody::Whole(body) => {
-            if status < 500 {
-                reservation.record_success(Instant::now());
-                if (200..300).contains(&status) {
-                    attempts.record_completed(node, &reservation, states_end);
-                }
-            } else {
-                reservation.record_failed_response();
-            }
+            attempts.record_response(node, &reservation, status, states_end);
             record_usage(node, customer.as_ref());
             CallerResponse::Whole {
                 status,
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -682,6 +682,41 @@
     assert_eq!(tracker.is_crashing(&[FIRST, BAD], Instant::now()), crashing);
 }
 
+// Guards against a sound part that is refused for crashes of endpoints that have since responded to
+// resumed streams.
+#[rstest]
+#[case::not_found(ScriptedSend::Respond(404), false)]
+#[case::server_error(ScriptedSend::Respond(503), false)]
+#[case::broken(ScriptedSend::Fail(connection_broken()), true)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_endpoint_that_responds_to_a_resumed_stream_has_not_crashed(
+    #[case] resumed: ScriptedSend,
+    #[case] crashing: bool,
+) {
+    let records = [endpoint("e0"), endpoint("e1")];
+    let node = new_node(0, &records);
+    let mut config = system_config();
+    config.version += 1;
+    config.routes[0][0].kind = RouteKind::ResumableStream;
+    node.apply_config(config, "test");
+    let listed = records.map(|r| EndpointProcess::new(&r.id, r.incarnation));
+    for process in listed.into_iter().chain([EndpointProcess(3)]) {
+        let now = Instant::now();
+        node.part_crashes.lock().record_crash(BAD, process, now);
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+    let broken = ScriptedSend::Stream(vec![EVENT], Err("reset"));
+    let client = ScriptedClient::new([broken, resumed]);
+    let response = serve(&node, &client, request(1, &[FIRST])).await;
+    let CallerResponse::Stream { mut events, .. } = response else {
+        panic!("no stream: {response:?}");
+    };
+    while let Ok(Some(_)) = events.next().await {}
+    assert_eq!(client.seen.lock().len(), 2);
+    let tracker = node.part_crashes.lock();
+    assert_eq!(tracker.is_crashing(&[BAD], Instant::now()), crashing);
+}
+
 /// Sends a request and reads its response to the end.
 async fn complete(node: &Arc<Node>, client: &Arc<ScriptedClient>, call: Call) {
     match serve(node, client, call).await {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -281,6 +281,38 @@
     assert_eq!(evidence[&desk()].sent(), (3, 2));
 }
 
+// Guards against responses of a new version to resumed streams that are missing in its evidence; it
+// gets the streams again, as all old endpoints are leaving.
+#[rstest]
+#[case::failure(503, 0, 2)]
+#[case::not_found(404, 1, 1)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_responses_to_resumed_streams_are_counted(
+    #[case] status: u16,
+    #[case] answered: u64,
+    #[case] failed: u64,
+) {
+    let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 1000))).await;
+    let streams = config_with_attempts(RouteKind::ResumableStream, 2);
+    assert!(node.apply_config(streams, "test"));
+    for id in ["e0", "e1"] {
+        node.endpoints.lock().mark_draining(&EndpointId::from(id));
+    }
+    let client = ScriptedClient::new([
+        ScriptedSend::Stream(vec!["id: 1\ndata: a\n\n"], Err("reset")),
+        ScriptedSend::Respond(status),
+    ]);
+    let response = serve(&node, &client, call("1")).await;
+    let CallerResponse::Stream { mut events, .. } = response else {
+        panic!("no stream: {response:?}");
+    };
+    while let Ok(Some(_)) = events.next().await {}
+    assert_eq!(client.seen.lock().len(), 2);
+    let evidence = node.rollouts.lock().evidence();
+    let target = &evidence[&desk()].routes["/a/"].target;
+    assert_eq!((target.answered, target.failed), (answered, failed));
+}
+
 // Requests on the new version of an order that was rolled back counted as evidence on the next order
 // if they ended after it had arrived: a good version was rolled back for the times of a slow one.
 #[rstest]
