--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -73,6 +73,17 @@
     fn may_be_cut(&self) -> bool {
         !self.has_event && !self.body.states_end()
     }
+
+    /// Returns how the stream was interrupted if its body ended within an event: a body that states
+    /// its end is complete, so that its connection has not been broken off.
+    fn end_within_event(&self) -> Interruption {
+        let reason = "stream ended within an event".to_owned();
+        if self.body.states_end() {
+            Interruption::InvalidResponse(reason)
+        } else {
+            Interruption::ConnectionBroken(reason)
+        }
+    }
 }
 
 /// Outcome of reading from an endpoint's stream.
@@ -199,13 +210,22 @@
         let run = self.attempts.run(&self.node, &*self.client).await;
         let (response, reservation) =
             run.map_err(|refusal| StreamBroken(refusal.kind.to_string()))?;
-        let EndpointResponse { status, body, .. } = response;
+        let EndpointResponse {
+            status,
+            body,
+            states_end,
+            ..
+        } = response;
         match body {
             ResponseBody::Stream(body) if status < 300 => {
                 self.source = Some(Source::new(body, reservation));
                 Ok(())
             }
-            _ => Err(StreamBroken(format!("resume failed with status {status}"))),
+            _ => {
+                self.attempts
+                    .record_response(&self.node, &reservation, status, states_end);
+                Err(StreamBroken(format!("resume failed with status {status}")))
+            }
         }
     }
 }
@@ -223,8 +243,7 @@
             }
             Ok(Err(interruption)) => return ReadOutcome::Failed(interruption),
             Ok(Ok(None)) if splitter.has_partial() => {
-                let reason = "stream ended within an event".to_owned();
-                return ReadOutcome::Failed(Interruption::ConnectionBroken(reason));
+                return ReadOutcome::Failed(source.end_within_event());
             }
             Ok(Ok(None)) if source.may_be_cut() => {
                 let reason = "connection ended before the first event".to_owned();
