crashes: a process counts again after its expired crash

What callers would see: a part that crashed endpoint processes which had failed once before, more than four minutes ago, was sent to endpoints further, since its new crashes were not counted. So with a broken connection that the process outlived while only other entries had responses from it.

Cause: a crash older than CRASH_RETENTION was never removed while its part stayed listed, which it does until there are 256 of them. A new crash of the same process was merged into it with the earlier time and expired at once.

Evidence, the new test on the code before: test_crash_part_limits_process_counts_again_after_its_expired_crash test_crash_part_limits.rs:217:5: assertion failed: tracker.is_crashing(&[BAD], Instant::now())

Expired crashes of a part are now removed before one is inserted.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -198,6 +198,7 @@
             self.remove_expired(now);
         }
         let suspect = self.suspect(part, now);
+        suspect.remove_expired_crashes(now);
         if let Some(known) = suspect.crashes.get_mut(&process) {
             *known = at.min(*known);
             return false;
--- a/entry/src/part_suspect.rs
+++ b/entry/src/part_suspect.rs
@@ -25,12 +25,22 @@
 }
 
 impl Suspect {
+    /// Removes the crashes that no longer count, so that their processes count when they crash again.
+    pub(crate) fn remove_expired_crashes(&mut self, now: Instant) {
+        self.crashes.retain(|_, at| counts(*at, now));
+    }
+
     /// Returns the crashes that still count.
     pub(crate) fn live_crashes(
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (EndpointProcess, Instant)> {
         let crashes = self.crashes.iter().map(|(process, at)| (*process, *at));
-        crashes.filter(move |(_, at)| now.saturating_duration_since(*at) < CRASH_RETENTION)
+        crashes.filter(move |(_, at)| counts(*at, now))
     }
 }
+
+/// Returns whether a crash at `at` still counts.
+fn counts(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < CRASH_RETENTION
+}
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -17,6 +17,9 @@
 /// Time between two crashes.
 const CRASH_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time for which a crash counts.
+const CRASH_RETENTION: Duration = Duration::from_mins(4);
+
 fn process(number: u64) -> EndpointProcess {
     EndpointProcess::new(&EndpointId::from("e"), number)
 }
@@ -201,3 +204,15 @@
     }
     assert_eq!(tracker.is_crashing(&[part], Instant::now()), is_crashing);
 }
+
+// A process that had failed minutes before and crashed again was not counted while its part was still
+// listed, so that the part was not found.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_process_counts_again_after_its_expired_crash() {
+    let mut tracker = PartCrashTracker::default();
+    crash_three_times(&mut tracker, BAD).await;
+    tokio::time::advance(CRASH_RETENTION).await;
+    assert!(!tracker.is_crashing(&[BAD], Instant::now()));
+    crash_three_times(&mut tracker, BAD).await;
+    assert!(tracker.is_crashing(&[BAD], Instant::now()));
+}
