crashes: requests before and after a peer's restart are added up

What callers would see: requests with a sound part that completed requests before were refused after crashes at two moments, such as the loss of a failure domain. A part that completed some needs four moments.

Cause: when a peer reports fewer requests than before, as after a restart, the times of both reports were added up, but the count was the larger of the two. When as many of the times were after the first crash as the count says, the part was taken for one that had completed none before (Evidence::is_known_part). For one peer that takes at least two such times and so seven crashes; the number of crashes (3 instead of 5) then no longer matters, that of moments (2 instead of 4) does.

Evidence, the new test on the code before: test_crash_part_limits_requests_before_and_after_a_restart_are_added_up case_1_two_after and case_2_one_after, test_crash_part_limits.rs:251:9: assertion failed: !tracker.is_crashing(&[part], now)

The count is now at least the number of different requests whose times are known. Not covered yet: a report that lists as many times as were known before still replaces them. test_crash_part_limits: 13 passed.

--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -63,6 +63,7 @@
         let is_listed = |sent: Instant| oldest.is_some_and(|o| sent + MAX_REPORT_ERROR >= o);
         let older = known.sends.into_iter().filter(|sent| !is_listed(*sent));
         self.sends.extend(older);
+        self.count = self.count.max(self.sends.len() as u64);
         keep_newest(&mut self.sends);
     }
 
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -216,3 +216,38 @@
     crash_three_times(&mut tracker, BAD).await;
     assert!(tracker.is_crashing(&[BAD], Instant::now()));
 }
+
+// Requests that a peer reported before and after its restart were not added up, so that the part no
+// longer counted as known, and crashes at two moments were enough.
+#[rstest]
+#[case::two_after(3, &[2_000, 3_000, 40_000], &[100, 400], 13)]
+#[case::one_after(2, &[2_000, 40_000], &[100], 7)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_requests_before_and_after_a_restart_are_added_up(
+    #[case] completed: u64,
+    #[case] before_ms: &[u64],
+    #[case] after_ms: &[u64],
+    #[case] crashes: u64,
+) {
+    tokio::time::advance(Duration::from_mins(1)).await;
+    let mut tracker = PartCrashTracker::default();
+    let (peer, part, now) = (EntryName::from("peer"), PartId(7), Instant::now());
+    // The first process crashed 8 s ago, the others at the same moment.
+    let crashed =
+        (0..crashes).map(|number| (process(number), if number == 0 { 8_000 } else { 50 }));
+    let before = PartReport {
+        crashes: crashed.collect(),
+        completed,
+        completed_sends: before_ms.to_vec(),
+        ..report(part, &[])
+    };
+    let after = PartReport {
+        completed: after_ms.len() as u64,
+        completed_sends: after_ms.to_vec(),
+        ..report(part, &[])
+    };
+    for reported in [before, after] {
+        tracker.merge(&peer, &[reported], now, now);
+        assert!(!tracker.is_crashing(&[part], now));
+    }
+}
