crashes: what peers reported of a part is forgotten once it is old

What callers would see: a part that had been sound hours before and turned bad crashed five endpoints instead of three before it was refused. And after a single crash a common part was reported to all peers, with its completed requests, for the life of the process, and took one of the 16 places for counts.

Cause: is_known_to_peers was only ever set, peer_completed kept what any peer had reported since the start, and a part was dropped only at 256 parts.

Evidence, the new tests on the code before: test_crash_part_limits_common_part_is_not_reported_long_after_its_crash test_crash_part_limits.rs:279:13: second 481 left: [true, true] right: [false, false] test_crash_part_limits_old_request_of_a_peer_does_not_delay_the_finding, all four cases, test_crash_part_limits.rs:315:5: assertion failed: tracker.is_crashing(&[BAD], Instant::now())

An entry now reports its count while the newest crash that a peer reported counts, four minutes. What a peer reported of completed requests is kept while any crash of the part counts, and otherwise for four minutes after its last report. A part of which nothing remains is dropped. Reports of counts do not prolong each other: the first test lets two entries exchange them, and asserts the end after 240 s (481 s when it was first run).

Pruned by time only, not when a peer leaves: crashes belong to the part and not to the peer that reported them, and an entry that crashed together with its evidence must make neither a bad part forgotten nor a sound one suspected. test_crash_part_limits_crashes_outlive_the_peer_that_reported_them guards that; it passed before, too. test_crash_part_limits: 19 passed.

--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -165,6 +165,7 @@
             let at = published_at.checked_sub(Duration::from_millis(*age_ms));
             at.unwrap_or(published_at)
         };
+        self.suspects.retain(|_, suspect| suspect.is_needed(now));
         for report in reports {
             for (process, age_ms) in &report.crashes {
                 self.insert_crash(report.part, *process, time(age_ms), now);
@@ -175,10 +176,9 @@
             if !is_known && (report.completed == 0 || self.suspects.len() >= MAX_SUSPECTS) {
                 continue;
             }
+            let newest_crash = report.crashes.iter().map(|(_, age_ms)| time(age_ms)).max();
             let suspect = self.suspect(report.part, now);
-            suspect.is_known_to_peers |= !report.crashes.is_empty();
-            let known = suspect.peer_completed.entry(peer.clone()).or_default();
-            known.update(completed);
+            suspect.record_report(peer, completed, newest_crash, published_at);
         }
     }
 
@@ -217,6 +217,7 @@
         if suspect.live_crashes(now).next().is_none() {
             suspect.completed = self.completed.get(part);
         }
+        suspect.forget_old_reports(now);
         suspect
     }
 
@@ -242,7 +243,7 @@
         };
         let mut completed = self.completed(part, suspect, now);
         for peer in suspect.peer_completed.values() {
-            completed.add(peer);
+            completed.add(&peer.completed);
         }
         let mut crashes: Vec<_> = suspect.live_crashes(now).collect();
         crashes.sort_unstable_by_key(|(_, at)| *at);
@@ -387,7 +388,7 @@
             .map(|(process, at)| (*process, crate::millis(age(at))))
             .collect();
         let sends = completed.sends.iter().map(|sent| crate::millis(age(sent)));
-        let is_needed = suspect.is_known_to_peers && completed.count > 0;
+        let is_needed = suspect.is_known_to_peers(now) && completed.count > 0;
         (is_needed || !crashes.is_empty()).then_some(PartReport {
             part,
             crashes,
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -251,3 +251,91 @@
         assert!(!tracker.is_crashing(&[part], now));
     }
 }
+
+/// Tells each of two entries in turn what the other reports.
+fn exchange_reports(trackers: &mut [PartCrashTracker; 2]) {
+    let now = Instant::now();
+    for (from, to) in [(0, 1), (1, 0)] {
+        let reports = trackers[from].reports(now);
+        let name = EntryName::from(format!("entry-{from}").as_str());
+        trackers[to].merge(&name, &reports, now, now);
+    }
+}
+
+// A common part that once had a crash was reported for the life of the entries.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_common_part_is_not_reported_long_after_its_crash() {
+    let mut trackers = [PartCrashTracker::default(), PartCrashTracker::default()];
+    let sound = PartId(7);
+    trackers[0].record_crash(sound, process(1), Instant::now());
+    for second in 0..720 {
+        exchange_reports(&mut trackers);
+        let now = Instant::now();
+        let reported = trackers.each_mut().map(|t| !t.reports(now).is_empty());
+        if second < 120 {
+            assert!(reported[0], "second {second}");
+        }
+        if second > 240 {
+            assert_eq!(reported, [false; 2], "second {second}");
+        }
+        for tracker in &mut trackers {
+            tracker.record_completed(sound, now, now);
+        }
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+}
+
+// A request that completed at a peer hours before a part turned bad raised the number of crashes
+// that are needed; the peer may have left or go on reporting.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_old_request_of_a_peer_does_not_delay_the_finding(
+    #[values(0, 1)] old_crashes: u64,
+    #[values(true, false)] has_left: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let peer = EntryName::from("peer");
+    let processes: Vec<u64> = (100..100 + old_crashes).collect();
+    let old = PartReport {
+        completed: 1,
+        completed_sends: vec![10],
+        ..report(BAD, &processes)
+    };
+    let now = Instant::now();
+    tracker.merge(&peer, &[old], now, now);
+    for _ in 0..120 {
+        tokio::time::advance(Duration::from_mins(1)).await;
+        let other = report(PartId(7), &[]);
+        let now = Instant::now();
+        if !has_left {
+            tracker.merge(&peer, &[other], now, now);
+        }
+    }
+    crash_three_times(&mut tracker, BAD).await;
+    assert!(tracker.is_crashing(&[BAD], Instant::now()));
+}
+
+// Guards against a bad part that is forgotten before its time when the entry that reported its crashes
+// and completed requests crashed, too.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_crashes_outlive_the_peer_that_reported_them() {
+    let mut tracker = PartCrashTracker::default();
+    let (gone, other) = (EntryName::from("gone"), EntryName::from("other"));
+    let now = Instant::now();
+    let bad = PartReport {
+        completed: 1,
+        completed_sends: vec![60_000],
+        ..report(BAD, &[1, 2, 3, 4, 5])
+    };
+    tracker.merge(&gone, &[bad], now, now);
+    for second in 0..235 {
+        let now = Instant::now();
+        let sound = PartReport {
+            completed: 1,
+            ..report(PartId(7), &[])
+        };
+        tracker.merge(&other, &[sound], now, now);
+        assert!(tracker.is_crashing(&[BAD], now), "second {second}");
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+}
