crashes: reports of parts state the ages of the time they are sent

What callers would see in a system of more than 66 entries: requests with a part that crashes endpoints were sent further, since one request that completed was counted twice and outweighed three more crashes.

Cause: an entry sends a state that it built up to refresh_interval ago (0.3 to 4 s, 1.35 s at 90 entries) with the ages as of the build, and a peer takes the arrival as the time of publishing. The times of one request so differ by more than MAX_REPORT_ERROR (1 s) between two reports, and after a restart of the reporting entry both are kept.

Evidence, the new test, of an entry with 89 peers, on the code before: test_crash_parts_request_in_a_state_built_before_counts_once test_crash_parts.rs:801:9: state built 1200 ms before

The time since the build is now added to the ages when the state is sent. What is left of the error is the time of delivery and the rounding.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -359,7 +359,8 @@
     }
 
     /// Returns this entry's state for peers, rebuilt once per refresh interval or when readiness
-    /// changes; its version of the configuration is always the current one.
+    /// changes; its version of the configuration and the ages in its reports of prompt parts are
+    /// always the current ones.
     pub fn own_state(&self) -> EntryState {
         let mut state = self.recent_state();
         // Peers send the complete configuration to an entry that states an older version.
@@ -379,7 +380,11 @@
             Some((at, state))
                 if now.duration_since(*at) < interval && state.ready == self.is_ready() =>
             {
-                state.clone()
+                let mut state = state.clone();
+                for report in &mut state.part_crashes {
+                    report.add_age(now.duration_since(*at));
+                }
+                state
             }
             _ => {
                 let state = self.build_state();
--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -11,7 +11,7 @@
 const MAX_SENDS: usize = 6;
 
 /// Maximum error of a send time that a peer reports, as its age is measured and rounded anew for each
-/// report.
+/// report, and the receiver does not know how long the report took.
 const MAX_REPORT_ERROR: Duration = Duration::from_secs(1);
 
 /// Length of the periods in which completed requests are counted; the current and the last one count.
--- a/entry/src/part_crash.rs
+++ b/entry/src/part_crash.rs
@@ -78,6 +78,17 @@
     pub completed_sends: Vec<u64>,
 }
 
+impl PartReport {
+    /// Adds the time for which the report was kept before it is sent.
+    pub(crate) fn add_age(&mut self, kept: Duration) {
+        let kept_ms = crate::millis(kept);
+        let crash_ages = self.crashes.iter_mut().map(|(_, age_ms)| age_ms);
+        for age_ms in crash_ages.chain(&mut self.completed_sends) {
+            *age_ms = age_ms.saturating_add(kept_ms);
+        }
+    }
+}
+
 /// Evidence on prompt parts, from this entry and its peers.
 #[derive(Debug, Default)]
 pub struct PartCrashTracker {
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -768,3 +768,36 @@
     tracker.record_crash(part, EndpointProcess(0), Instant::now());
     assert!(tracker.is_crashing(&[part], Instant::now()));
 }
+
+// Guards against a completed request of a peer in a large system that counts twice, as the peer reports
+// its age late from a state that it built before.
+#[tokio::test(start_paused = true)]
+async fn test_crash_parts_request_in_a_state_built_before_counts_once() {
+    let sender = new_node(0, &[]);
+    for number in 10..99 {
+        exchange(&new_node(number, &[]), &sender);
+    }
+    learn_crashes(&sender, 10);
+    sender.invalidate_state();
+    let mut tracker = PartCrashTracker::default();
+    let mut learn = |reports: &[PartReport]| {
+        let now = Instant::now();
+        tracker.merge(&EntryName::from("entry-0"), reports, now, now);
+        tracker.is_crashing(&[BAD], now)
+    };
+    let mut before_restart = sender.own_state().part_crashes;
+    before_restart[0].completed = 2;
+    before_restart[0].completed_sends = vec![100, 200];
+    learn(&before_restart);
+    tokio::time::advance(Duration::from_secs(3)).await;
+    let now = Instant::now();
+    sender.part_crashes.lock().record_completed(BAD, now, now);
+    for elapsed_ms in [0, 1_200] {
+        sender.invalidate_state();
+        sender.own_state();
+        tokio::time::advance(Duration::from_millis(elapsed_ms)).await;
+        // Three requests do not outweigh ten crashes.
+        let is_crashing = learn(&sender.own_state().part_crashes);
+        assert!(is_crashing, "state built {elapsed_ms} ms before");
+    }
+}
