crashes: a report as long as the one before keeps older requests

What callers would see: requests with a part that completed requests before were refused after four crashes at two moments instead of five at four, when the peer that had reported the completed requests restarted.

Cause: a report that lists as many requests as were known replaced them, so that a peer that had completed one request before its restart and one since was known for one in all. With that one sent after the first crash, the part counted as one that had completed none before.

Evidence, two more cases of the test on the code before: test_crash_part_limits_requests_before_and_after_a_restart_are_added_up case_1_as_many_as_before and case_2_more_than_before, test_crash_part_limits.rs:253:9: assertion failed: !tracker.is_crashing(&[part], now)

Known requests are now kept beside such a report, too, if they are more than 5 s older than all that it lists. With the 1 s that holds for shorter reports, one request in reports that were on their way for different times would count several times and outweigh the crashes of a bad part: in a trial test_crash_part_limits_request_in_delayed_reports_counts_once failed with "delayed by 1200 ms". It passed before the change and does now. test_crash_part_limits: 22 passed.

--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -14,6 +14,10 @@
 /// report, and the receiver does not know how long the report took.
 const MAX_REPORT_ERROR: Duration = Duration::from_secs(1);
 
+/// Time by which a request must be older than all that a report lists to count beside them, if there are
+/// as many as were known. Such a report seldom follows a restart, and may just have come late.
+const MIN_AGE_BESIDE_FULL_REPORT: Duration = Duration::from_secs(5);
+
 /// Length of the periods in which completed requests are counted; the current and the last one count.
 const COUNTING_PERIOD: Duration = Duration::from_mins(2);
 
@@ -56,11 +60,13 @@
     pub(crate) fn update(&mut self, reported: Self) {
         let known = std::mem::replace(self, reported);
         self.count = self.count.max(known.count);
-        if self.sends.len() >= known.sends.len() {
-            return;
-        }
+        let max_error = if self.sends.len() < known.sends.len() {
+            MAX_REPORT_ERROR
+        } else {
+            MIN_AGE_BESIDE_FULL_REPORT
+        };
         let oldest = self.sends.iter().min().copied();
-        let is_listed = |sent: Instant| oldest.is_some_and(|o| sent + MAX_REPORT_ERROR >= o);
+        let is_listed = |sent: Instant| oldest.is_some_and(|o| sent + max_error >= o);
         let older = known.sends.into_iter().filter(|sent| !is_listed(*sent));
         self.sends.extend(older);
         self.count = self.count.max(self.sends.len() as u64);
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -220,6 +220,8 @@
 // Requests that a peer reported before and after its restart were not added up, so that the part no
 // longer counted as known, and crashes at two moments were enough.
 #[rstest]
+#[case::as_many_as_before(1, &[40_000], &[900], 4)]
+#[case::more_than_before(1, &[40_000], &[400, 900], 7)]
 #[case::two_after(3, &[2_000, 3_000, 40_000], &[100, 400], 13)]
 #[case::one_after(2, &[2_000, 40_000], &[100], 7)]
 #[tokio::test(start_paused = true)]
@@ -339,3 +341,24 @@
         tokio::time::advance(Duration::from_secs(1)).await;
     }
 }
+
+// Guards against one request of a peer that counts several times because reports of it were on their
+// way for different times, so that it outweighs the crashes of a bad part.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_request_in_delayed_reports_counts_once() {
+    let mut tracker = PartCrashTracker::default();
+    tokio::time::advance(Duration::from_mins(1)).await;
+    let now = Instant::now();
+    for delay_ms in [0, 1_200, 2_500, 3_900, 0] {
+        let completed = PartReport {
+            completed: 1,
+            completed_sends: vec![5_000 - delay_ms],
+            crashes: (1..=4)
+                .map(|number| (process(number), number * 1_000 + 5_000))
+                .collect(),
+            ..report(BAD, &[])
+        };
+        tracker.merge(&EntryName::from("peer"), &[completed], now, now);
+        assert!(tracker.is_crashing(&[BAD], now), "delayed by {delay_ms} ms");
+    }
+}
