--- a/entry/src/part_completions.rs
+++ b/entry/src/part_completions.rs
@@ -14,8 +14,8 @@
 /// report, and the receiver does not know how long the report took.
 const MAX_REPORT_ERROR: Duration = Duration::from_secs(1);
 
-/// Time by which a request must be older than all that a report lists to count beside them, if there are
-/// as many as were known. Such a report seldom follows a restart, and may just have come late.
+/// Time by which a request must be older than all that a report lists to count beside them, if
+/// there are as many as were known. Such a report seldom follows a restart, and may just come late.
 const MIN_AGE_BESIDE_FULL_REPORT: Duration = Duration::from_secs(5);
 
 /// Length of the periods in which completed requests are counted; the current and the last one count.
--- a/entry/src/part_suspect.rs
+++ b/entry/src/part_suspect.rs
@@ -33,7 +33,8 @@
 }
 
 impl Suspect {
-    /// Removes the crashes that no longer count, so that their processes count when they crash again.
+    /// Removes the crashes that no longer count, so that their processes count when they crash
+    /// again.
     pub(crate) fn remove_expired_crashes(&mut self, now: Instant) {
         self.crashes.retain(|_, at| counts(*at, now));
     }
@@ -59,8 +60,8 @@
         }
     }
 
-    /// Returns whether a crash that a peer reported still counts, so that peers may need this entry's
-    /// count.
+    /// Returns whether a crash that a peer reported still counts, so that peers may need this
+    /// entry's count.
     pub(crate) fn is_known_to_peers(&self, now: Instant) -> bool {
         self.reported_crash.is_some_and(|at| counts(at, now))
     }
--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -205,8 +205,8 @@
     assert_eq!(tracker.is_crashing(&[part], Instant::now()), is_crashing);
 }
 
-// A process that had failed minutes before and crashed again was not counted while its part was still
-// listed, so that the part was not found.
+// A process that had failed minutes before and crashed again was not counted while its part was
+// still listed, so that the part was not found.
 #[tokio::test(start_paused = true)]
 async fn test_crash_part_limits_process_counts_again_after_its_expired_crash() {
     let mut tracker = PartCrashTracker::default();
@@ -317,8 +317,8 @@
     assert!(tracker.is_crashing(&[BAD], Instant::now()));
 }
 
-// Guards against a bad part that is forgotten before its time when the entry that reported its crashes
-// and completed requests crashed, too.
+// Guards against a bad part that is forgotten before its time when the entry that reported its
+// crashes and completed requests crashed, too.
 #[tokio::test(start_paused = true)]
 async fn test_crash_part_limits_crashes_outlive_the_peer_that_reported_them() {
     let mut tracker = PartCrashTracker::default();
@@ -342,8 +342,8 @@
     }
 }
 
-// Guards against one request of a peer that counts several times because reports of it were on their
-// way for different times, so that it outweighs the crashes of a bad part.
+// Guards against one request of a peer that counts several times because reports of it were on
+// their way for different times, so that it outweighs the crashes of a bad part.
 #[tokio::test(start_paused = true)]
 async fn test_crash_part_limits_request_in_delayed_reports_counts_once() {
     let mut tracker = PartCrashTracker::default();
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -769,8 +769,8 @@
     assert!(tracker.is_crashing(&[part], Instant::now()));
 }
 
-// Guards against a completed request of a peer in a large system that counts twice, as the peer reports
-// its age late from a state that it built before.
+// Guards against a completed request of a peer in a large system that counts twice, as the peer
+// reports its age late from a state that it built before.
 #[tokio::test(start_paused = true)]
 async fn test_crash_parts_request_in_a_state_built_before_counts_once() {
     let sender = new_node(0, &[]);
