--- a/entry/tests/test_crash_part_limits.rs
+++ b/entry/tests/test_crash_part_limits.rs
@@ -17,6 +17,9 @@
 /// Time between two crashes.
 const CRASH_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time for which a crash counts.
+const CRASH_RETENTION: Duration = Duration::from_mins(4);
+
 fn process(number: u64) -> EndpointProcess {
     EndpointProcess::new(&EndpointId::from("e"), number)
 }
@@ -201,3 +204,161 @@
     }
     assert_eq!(tracker.is_crashing(&[part], Instant::now()), is_crashing);
 }
+
+// A process that had failed minutes before and crashed again was not counted while its part was
+// still listed, so that the part was not found.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_process_counts_again_after_its_expired_crash() {
+    let mut tracker = PartCrashTracker::default();
+    crash_three_times(&mut tracker, BAD).await;
+    tokio::time::advance(CRASH_RETENTION).await;
+    assert!(!tracker.is_crashing(&[BAD], Instant::now()));
+    crash_three_times(&mut tracker, BAD).await;
+    assert!(tracker.is_crashing(&[BAD], Instant::now()));
+}
+
+// Requests that a peer reported before and after its restart were not added up, so that the part no
+// longer counted as known, and crashes at two moments were enough.
+#[rstest]
+#[case::as_many_as_before(1, &[40_000], &[900], 4)]
+#[case::more_than_before(1, &[40_000], &[400, 900], 7)]
+#[case::two_after(3, &[2_000, 3_000, 40_000], &[100, 400], 13)]
+#[case::one_after(2, &[2_000, 40_000], &[100], 7)]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_requests_before_and_after_a_restart_are_added_up(
+    #[case] completed: u64,
+    #[case] before_ms: &[u64],
+    #[case] after_ms: &[u64],
+    #[case] crashes: u64,
+) {
+    tokio::time::advance(Duration::from_mins(1)).await;
+    let mut tracker = PartCrashTracker::default();
+    let (peer, part, now) = (EntryName::from("peer"), PartId(7), Instant::now());
+    // The first process crashed 8 s ago, the others at the same moment.
+    let crashed =
+        (0..crashes).map(|number| (process(number), if number == 0 { 8_000 } else { 50 }));
+    let before = PartReport {
+        crashes: crashed.collect(),
+        completed,
+        completed_sends: before_ms.to_vec(),
+        ..report(part, &[])
+    };
+    let after = PartReport {
+        completed: after_ms.len() as u64,
+        completed_sends: after_ms.to_vec(),
+        ..report(part, &[])
+    };
+    for reported in [before, after] {
+        tracker.merge(&peer, &[reported], now, now);
+        assert!(!tracker.is_crashing(&[part], now));
+    }
+}
+
+/// Tells each of two entries in turn what the other reports.
+fn exchange_reports(trackers: &mut [PartCrashTracker; 2]) {
+    let now = Instant::now();
+    for (from, to) in [(0, 1), (1, 0)] {
+        let reports = trackers[from].reports(now);
+        let name = EntryName::from(format!("entry-{from}").as_str());
+        trackers[to].merge(&name, &reports, now, now);
+    }
+}
+
+// A common part that once had a crash was reported for the life of the entries.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_common_part_is_not_reported_long_after_its_crash() {
+    let mut trackers = [PartCrashTracker::default(), PartCrashTracker::default()];
+    let sound = PartId(7);
+    trackers[0].record_crash(sound, process(1), Instant::now());
+    for second in 0..720 {
+        exchange_reports(&mut trackers);
+        let now = Instant::now();
+        let reported = trackers.each_mut().map(|t| !t.reports(now).is_empty());
+        if second < 120 {
+            assert!(reported[0], "second {second}");
+        }
+        if second > 240 {
+            assert_eq!(reported, [false; 2], "second {second}");
+        }
+        for tracker in &mut trackers {
+            tracker.record_completed(sound, now, now);
+        }
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+}
+
+// A request that completed at a peer hours before a part turned bad raised the number of crashes
+// that are needed; the peer may have left or go on reporting.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_old_request_of_a_peer_does_not_delay_the_finding(
+    #[values(0, 1)] old_crashes: u64,
+    #[values(true, false)] has_left: bool,
+) {
+    let mut tracker = PartCrashTracker::default();
+    let peer = EntryName::from("peer");
+    let processes: Vec<u64> = (100..100 + old_crashes).collect();
+    let old = PartReport {
+        completed: 1,
+        completed_sends: vec![10],
+        ..report(BAD, &processes)
+    };
+    let now = Instant::now();
+    tracker.merge(&peer, &[old], now, now);
+    for _ in 0..120 {
+        tokio::time::advance(Duration::from_mins(1)).await;
+        let other = report(PartId(7), &[]);
+        let now = Instant::now();
+        if !has_left {
+            tracker.merge(&peer, &[other], now, now);
+        }
+    }
+    crash_three_times(&mut tracker, BAD).await;
+    assert!(tracker.is_crashing(&[BAD], Instant::now()));
+}
+
+// Guards against a bad part that is forgotten before its time when the entry that reported its
+// crashes and completed requests crashed, too.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_crashes_outlive_the_peer_that_reported_them() {
+    let mut tracker = PartCrashTracker::default();
+    let (gone, other) = (EntryName::from("gone"), EntryName::from("other"));
+    let now = Instant::now();
+    let bad = PartReport {
+        completed: 1,
+        completed_sends: vec![60_000],
+        ..report(BAD, &[1, 2, 3, 4, 5])
+    };
+    tracker.merge(&gone, &[bad], now, now);
+    for second in 0..235 {
+        let now = Instant::now();
+        let sound = PartReport {
+            completed: 1,
+            ..report(PartId(7), &[])
+        };
+        tracker.merge(&other, &[sound], now, now);
+        assert!(tracker.is_crashing(&[BAD], now), "second {second}");
+        tokio::time::advance(Duration::from_secs(1)).await;
+    }
+}
+
+// Guards against one request of a peer that counts several times because reports of it were on
+// their way for different times, so that it outweighs the crashes of a bad part.
+#[tokio::test(start_paused = true)]
+async fn test_crash_part_limits_request_in_delayed_reports_counts_once() {
+    let mut tracker = PartCrashTracker::default();
+    tokio::time::advance(Duration::from_mins(1)).await;
+    let now = Instant::now();
+    for delay_ms in [0, 1_200, 2_500, 3_900, 0] {
+        let completed = PartReport {
+            completed: 1,
+            completed_sends: vec![5_000 - delay_ms],
+            crashes: (1..=4)
+                .map(|number| (process(number), number * 1_000 + 5_000))
+                .collect(),
+            ..report(BAD, &[])
+        };
+        tracker.merge(&EntryName::from("peer"), &[completed], now, now);
+        assert!(tracker.is_crashing(&[BAD], now), "delayed by {delay_ms} ms");
+    }
+}
