rollouts: a holder that regains the lease measures the request rate anew

A new version could get more requests than the exposure bound allows after the lease had changed hands twice.

On regaining it the oldest one was from the earlier term, so the rate counted as measured at once and was a mean over the time of the other holder.

Before the fix, test_rollout_holder_that_regains_the_lease_measures_the_rate_anew fails (50 requests per second in the earlier term, 20 requests in the 6 s after it):

left: [Rollout { ... stage: Some(Stage { state: InProgress, serial: 2, share: 30, idle_ms: Some }) }] right: []

The test of the newest responses begins anew as well; that of all since the order keeps its counts.

--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -97,14 +97,18 @@
 
     /// Stores a snapshot of the evidence if one is due.
     ///
+    /// Earlier snapshots are removed when the newest one is older than [`RECENT_WINDOW`]: another
+    /// entry has held the lease since, and a mean over that time is not the current rate.
+    ///
     /// Returns the oldest stored snapshot, which is about [`RECENT_WINDOW`] old if the history
     /// reaches back that far, with its time.
     fn snapshot(&mut self, evidence: &RolloutEvidence, now: Instant) -> (Instant, RolloutEvidence) {
-        let is_due = self
-            .history
-            .back()
-            .is_none_or(|(at, _)| now.duration_since(*at) >= SNAPSHOT_INTERVAL);
-        if is_due {
+        let newest = self.history.back();
+        let newest_age = newest.map_or(Duration::MAX, |(at, _)| now.duration_since(*at));
+        if newest_age > RECENT_WINDOW {
+            self.history.clear();
+        }
+        if newest_age >= SNAPSHOT_INTERVAL {
             self.history.push_back((now, evidence.clone()));
         }
         while self
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -943,6 +943,31 @@
     assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
 }
 
+/// Adds requests that were sent to old versions to the evidence of an entry.
+fn record_old_sends(node: &Node, count: u64) {
+    let mut rollouts = node.rollouts.lock();
+    let evidence = rollouts.evidence_mut(&desk()).unwrap();
+    evidence.side_mut("/a/", VersionSide::Old).sent += count;
+}
+
+// A holder that got the lease back took the mean since its earlier term, in which hardly any
+// requests came, for the current rate, and sent all requests to the new version too early.
+#[tokio::test(start_paused = true)]
+async fn test_rollout_holder_that_regains_the_lease_measures_the_rate_anew() {
+    let node = node_with_both_versions(None).await;
+    let mut ordered = rollout(5, Some(stage(RolloutState::InProgress, 1, 30)));
+    ordered.seen_ms = node.synchronized_millis() - 4_000;
+    node.rollouts.lock().merge(&ordered);
+    record_old_sends(&node, 200);
+    let mut driver = RolloutDriver::default();
+    // The earlier term, the time of another holder, and the new term.
+    for (sent, pause_ms) in [(0, 1_000), (50, 6_000), (20, 1_000), (100, 0)] {
+        record_old_sends(&node, sent);
+        assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 // Guards against a finished rollout that starts again: the operator's order was written once more
 // after the store came back from an older copy, and has another number there.
 #[test]
