rollout: a renumbered order takes over its own running requests only

A good version could be rolled back for the outcomes of an earlier, bad one: after its order had replaced the earlier order, and the store had come back from an older copy.

Cause: when the order got its number of the later era, all running requests of the service were moved to that number, also those of the order before. Their outcomes then counted as those of the new version.

Before the fix, test_rollout_requests_of_an_order_before_a_renumbered_one_are_no_evidence fails in both cases (responses, failures):

left: 4 right: 0

Only requests of the order's old number are moved now. test_rollout_requests_of_a_renumbered_order_are_evidence guards the other side; it passed before as well. The test of an earlier order keeps its cases and its check, and shares its body with the two new tests.

--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -187,19 +187,14 @@
         let service = &other.order.service;
         match self.services.get_mut(service) {
             Some(known) if known.order.is_same(&other.order) => {
-                if other.order.id > known.order.id {
-                    known.order.id = other.order.id;
-                    if let Some(evidence) = self.evidence.get_mut(service) {
-                        evidence.order = other.order.id;
-                    }
-                    let running = self.running.values_mut();
-                    for request in running.filter(|r| r.service == *service) {
-                        request.order = other.order.id;
-                    }
-                }
+                let old_id = known.order.id;
+                known.order.id = old_id.max(other.order.id);
                 known.seen_ms = known.seen_ms.min(other.seen_ms);
                 let is_newer = other.stage > known.stage;
                 known.stage = known.stage.max(other.stage);
+                if other.order.id > old_id {
+                    self.renumber_evidence(service, old_id, other.order.id);
+                }
                 is_newer
             }
             Some(known) if known.order.id > other.order.id => false,
@@ -212,6 +207,18 @@
         }
     }
 
+    /// Moves the evidence and the running requests of an order to its new number; requests of
+    /// earlier orders keep theirs.
+    fn renumber_evidence(&mut self, service: &ServiceName, old_id: u64, new_id: u64) {
+        if let Some(evidence) = self.evidence.get_mut(service) {
+            evidence.order = new_id;
+        }
+        let running = self.running.values_mut();
+        for request in running.filter(|r| r.service == *service && r.order == old_id) {
+            request.order = new_id;
+        }
+    }
+
     /// Returns whether an open rollout is in its cutover, which requires fresh load data from
     /// peers to see when the old versions are idle.
     pub fn is_cutting_over(&self) -> bool {
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -281,29 +281,64 @@
     assert_eq!(evidence[&desk()].sent(), (3, 2));
 }
 
-// Requests on the new version of an order that was rolled back counted as evidence on the next order
-// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
-#[rstest]
-#[case::responses(200)]
-#[case::failures(503)]
-#[tokio::test(start_paused = true)]
-async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+/// Serves four requests on the new version of order 4, merges rollouts while they run, and returns
+/// how many outcomes of a new version then count.
+async fn count_outcomes_after(merged: &[Rollout], status: u16) -> u64 {
     let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 1000))).await;
     let delay = Duration::from_millis(400);
     let client = ScriptedClient::new(vec![ScriptedSend::RespondAfter(status, delay); 12]);
     let ids: Vec<String> = (0..4).map(|number| number.to_string()).collect();
     let requests = ids.iter().map(|id| serve(&node, &client, call(id)));
-    let later_order = async {
+    let merge = async {
         tokio::time::sleep(delay / 2).await;
-        let mut later = rollout(5, Some(stage(RolloutState::InProgress, 1, 0)));
-        later.order.target = VersionName::from("v3");
-        node.rollouts.lock().merge(&later);
+        for rollout in merged {
+            node.rollouts.lock().merge(rollout);
+        }
     };
-    tokio::join!(futures_util::future::join_all(requests), later_order);
+    tokio::join!(futures_util::future::join_all(requests), merge);
     let evidence = node.rollouts.lock().evidence();
     let targets = evidence[&desk()].routes.values().map(|sides| &sides.target);
-    let outcomes: u64 = targets.map(|t| t.answered + t.failed).sum();
-    assert_eq!(outcomes, 0);
+    targets.map(|t| t.answered + t.failed).sum()
+}
+
+/// Returns a rollout to a target without a share.
+fn rollout_to(target: &str, id: u64) -> Rollout {
+    let mut rollout = rollout(id, Some(stage(RolloutState::InProgress, 1, 0)));
+    rollout.order.target = VersionName::from(target);
+    rollout
+}
+
+// Requests on the new version of an order that was rolled back counted as evidence on the next order
+// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+    assert_eq!(
+        count_outcomes_after(&[rollout_to("v3", 5)], status).await,
+        0
+    );
+}
+
+// Such requests counted again once the store had come back from an older copy and the next order
+// was written there under another number.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_order_before_a_renumbered_one_are_no_evidence(
+    #[case] status: u16,
+) {
+    let merged = [rollout_to("v3", 5), rollout_to("v3", StoreEra(1).number(5))];
+    assert_eq!(count_outcomes_after(&merged, status).await, 0);
+}
+
+// Guards against a renumbered order that loses the outcomes of its own requests.
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_a_renumbered_order_are_evidence() {
+    let renumbered = rollout_to("v2", StoreEra(1).number(4));
+    assert_eq!(count_outcomes_after(&[renumbered], 200).await, 4);
 }
 
 fn chosen_version(table: &EndpointTable) -> Option<String> {
