rollouts: a stage is logged once, when it has taken effect

Operators saw, or would have seen, `rollout_stage` and `rollout_evidence` lines for stages that never took effect, again at each tick (100 to 250 ms) while the lease stream refused appends. Found by reading.

Cause: the lines were written when the stage was decided, before the append of its record.

Before the fix, test_duty_stage_is_logged_once_when_it_takes_effect fails in both cases (append refused, response of the append lost):

assertion `left == right` failed: not known to be in effect left: 1 right: 0

The holder now keeps its newest decision with what it rests on, and logs it when the append has succeeded or a read shows that it did. Names, fields and values of the events are the same; they come after the call. One case is no longer logged: an append whose outcome was unknown, that a read did not show, and that took effect afterwards. The holder then loses the lease and learns of the stage from the stream.

--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -161,10 +161,11 @@
     }
 
     /// Applies stages that the lease stream contains and sends them to peers at once.
-    fn apply_stages(&self, stages: &[Rollout]) {
+    fn apply_stages(&mut self, stages: &[Rollout]) {
         if stages.is_empty() {
             return;
         }
+        self.rollouts.log_recorded(stages);
         for rollout in stages {
             self.node.merge_rollout(rollout);
         }
--- a/entry/src/rollout_driver.rs
+++ b/entry/src/rollout_driver.rs
@@ -44,6 +44,51 @@
     pub state: RolloutState,
 }
 
+/// Stage that the holder decided, with what the decision rests on.
+#[derive(Debug)]
+struct StageDecision {
+    /// Rollout with that stage.
+    rollout: Rollout,
+    stage: Stage,
+    view: RolloutView,
+    evidence: RolloutEvidence,
+}
+
+impl StageDecision {
+    fn log(&self) {
+        let order = &self.rollout.order;
+        let view = &self.view;
+        let slowdown = self.evidence.slowdown();
+        let survival = self.evidence.compare_survival();
+        tracing::info!(
+            event = "rollout_stage",
+            service = %order.service,
+            target = %order.target,
+            stage = ?self.stage,
+            reason = view.regression.map(tracing::field::display),
+            elapsed_ms = crate::millis(view.elapsed),
+            within_ms = crate::millis(view.within),
+            sent = view.sent,
+            exposed = view.exposed,
+            outcomes = view.target_outcomes,
+            rate = view.request_rate,
+            peak_rate = view.peak_rate,
+            targets = view.target_endpoints,
+            longest_ms = crate::millis(view.duration_bound),
+            old_running = view.old_running,
+            old_once = view.old_non_retryable,
+            slowdown = slowdown.excess.exp(),
+            slowdown_stderr = slowdown.stderr,
+            slowdown_count = slowdown.count,
+            ended = survival.observed,
+            ended_expected = survival.expected,
+            ended_shortfall = survival.shortfall(),
+            doubt = view.is_in_doubt,
+        );
+        log_evidence(&order.service, &self.evidence);
+    }
+}
+
 /// State that the holder keeps for one rollout.
 #[derive(Debug)]
 struct RolloutTracker {
@@ -54,6 +99,8 @@
     history: VecDeque<(Instant, RolloutEvidence)>,
     stage: Option<Stage>,
     stage_since: Instant,
+    /// Newest decision; `None` if the stage should not change.
+    decision: Option<StageDecision>,
     published: Option<RolloutState>,
 }
 
@@ -65,6 +112,7 @@
             history: VecDeque::new(),
             stage: None,
             stage_since: now,
+            decision: None,
             published: None,
         }
     }
@@ -169,6 +217,7 @@
         let service = rollout.order.service.clone();
         let tracker = self.tracker(&rollout, now);
         tracker.record_stage(rollout.stage, now);
+        tracker.decision = None;
         if !rollout.is_open() {
             return None;
         }
@@ -181,7 +230,6 @@
         let recent = sent.saturating_sub(older.sent().0);
         let measured = now.duration_since(snapshot_at);
         let request_rate = request_rate((recent, measured), (sent, elapsed));
-        let survival = evidence.compare_survival();
         let view = RolloutView {
             stage: rollout.stage,
             stage_age: now.duration_since(tracker.stage_since),
@@ -206,37 +254,30 @@
         if rollout.stage == Some(next) {
             return None;
         }
-        let slowdown = evidence.slowdown();
-        tracing::info!(
-            event = "rollout_stage",
-            %service,
-            target = %rollout.order.target,
-            stage = ?next,
-            reason = view.regression.map(tracing::field::display),
-            elapsed_ms = crate::millis(view.elapsed),
-            within_ms = crate::millis(view.within),
-            sent,
-            exposed,
-            outcomes = view.target_outcomes,
-            rate = view.request_rate,
-            peak_rate = view.peak_rate,
-            targets = view.target_endpoints,
-            longest_ms = crate::millis(view.duration_bound),
-            old_running = view.old_running,
-            old_once = view.old_non_retryable,
-            slowdown = slowdown.excess.exp(),
-            slowdown_stderr = slowdown.stderr,
-            slowdown_count = slowdown.count,
-            ended = survival.observed,
-            ended_expected = survival.expected,
-            ended_shortfall = survival.shortfall(),
-            doubt = view.is_in_doubt,
-        );
-        log_evidence(&service, &evidence);
-        Some(Rollout {
+        let rollout = Rollout {
             stage: Some(next),
             ..rollout
-        })
+        };
+        tracker.decision = Some(StageDecision {
+            rollout: rollout.clone(),
+            stage: next,
+            view,
+            evidence,
+        });
+        Some(rollout)
+    }
+
+    /// Logs the decisions on rollouts whose stages the lease stream is now known to contain.
+    ///
+    /// A stage that never takes effect is not logged, however often it is decided.
+    pub fn log_recorded(&mut self, rollouts: &[Rollout]) {
+        for rollout in rollouts {
+            let tracker = self.trackers.get_mut(&rollout.order.service);
+            let decision = tracker.and_then(|t| t.decision.take_if(|d| d.rollout == *rollout));
+            if let Some(decision) = decision {
+                decision.log();
+            }
+        }
     }
 
     /// Returns the statuses that this holder has not published yet.
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -3,7 +3,10 @@
 
 mod testutils;
 
+use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use hawthornrack_entry::ACQUIRE_GRACE_PERIOD;
 use hawthornrack_entry::BootTime;
@@ -42,6 +45,14 @@
 use testutils::config;
 use testutils::settings;
 use tokio::time::Instant;
+use tracing::Event;
+use tracing::Metadata;
+use tracing::Subscriber;
+use tracing::field::Field;
+use tracing::field::Visit;
+use tracing::span::Attributes;
+use tracing::span::Id;
+use tracing::span::Record;
 
 /// In-memory platform with a lease stream, rollout statuses and usage reports by window.
 #[derive(Debug, Default)]
@@ -57,6 +68,15 @@
     token_holders: IndexMap<u64, String>,
     conflicts: usize,
     statuses: Vec<RolloutState>,
+    /// What happens to every append to the lease stream, instead of at random.
+    append_fault: Option<AppendFault>,
+}
+
+/// Fault of an append to the lease stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AppendFault {
+    Refused,
+    ResponseLost,
 }
 
 #[derive(Clone, Debug)]
@@ -105,6 +125,10 @@
             return Err(DutyError::Refused("refused".to_owned()));
         }
         let mut platform = self.platform.lock();
+        let fault = platform.append_fault;
+        if fault == Some(AppendFault::Refused) {
+            return Err(DutyError::Refused("refused".to_owned()));
+        }
         let at = platform.lease_stream.len() as u64;
         if at != end {
             platform.conflicts += 1;
@@ -112,6 +136,9 @@
         }
         platform.lease_stream.push(record.clone());
         drop(platform);
+        if fault == Some(AppendFault::ResponseLost) {
+            return Err(DutyError::Unknown("lost".to_owned()));
+        }
         self.respond(ConditionalAppend::Appended(at))
     }
 
@@ -292,6 +319,15 @@
     );
 }
 
+fn rollout_order() -> RolloutOrder {
+    RolloutOrder {
+        id: 3,
+        service: ServiceName::from("desk"),
+        target: VersionName::from("v2"),
+        within: Duration::from_secs(2),
+    }
+}
+
 /// Records failures of the new version in the evidence of every entry.
 fn record_failures<'a>(nodes: impl Iterator<Item = &'a Node>) {
     for node in nodes {
@@ -310,12 +346,7 @@
     let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
     let mut entries = three_entries(&platform, &rng);
     for (node, _) in &entries {
-        node.apply_rollout_order(RolloutOrder {
-            id: 3,
-            service: ServiceName::from("desk"),
-            target: VersionName::from("v2"),
-            within: Duration::from_secs(2),
-        });
+        node.apply_rollout_order(rollout_order());
     }
     for round in 0..600 {
         if round == 200 {
@@ -342,6 +373,80 @@
     assert_eq!(platform.statuses, expected, "seed {seed}");
 }
 
+/// Subscriber that counts the log lines with a certain event name.
+#[derive(Clone, Debug)]
+struct EventCounter {
+    event: &'static str,
+    count: Arc<AtomicUsize>,
+}
+
+impl Visit for EventCounter {
+    fn record_debug(&mut self, _field: &Field, _value: &dyn fmt::Debug) {}
+
+    fn record_str(&mut self, field: &Field, value: &str) {
+        if field.name() == "event" && value == self.event {
+            self.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Subscriber for EventCounter {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn new_span(&self, _span: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _span: &Id, _values: &Record<'_>) {}
+
+    fn record_follows_from(&self, _span: &Id, _follows: &Id) {}
+
+    fn event(&self, event: &Event<'_>) {
+        event.record(&mut self.clone());
+    }
+
+    fn enter(&self, _span: &Id) {}
+
+    fn exit(&self, _span: &Id) {}
+}
+
+// Guards against a log that names stages which never took effect, several times a second while the
+// lease stream refuses appends.
+#[rstest]
+#[case::refused(AppendFault::Refused)]
+#[case::response_lost(AppendFault::ResponseLost)]
+#[tokio::test]
+async fn test_duty_stage_is_logged_once_when_it_takes_effect(#[case] fault: AppendFault) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counter = EventCounter {
+        event: "rollout_stage",
+        count: Arc::clone(&count),
+    };
+    let _guard = tracing::subscriber::set_default(counter);
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    let (node, mut duties) = reliable_duties(&platform, "a");
+    duties.tick().await;
+    node.apply_rollout_order(rollout_order());
+    platform.lock().append_fault = Some(fault);
+    // A lost response is followed by a read, which shows that the stage took effect.
+    let failing_ticks = if fault == AppendFault::Refused { 5 } else { 1 };
+    for _ in 0..failing_ticks {
+        duties.tick().await;
+        assert_eq!(
+            count.load(Ordering::Relaxed),
+            0,
+            "not known to be in effect"
+        );
+    }
+    platform.lock().append_fault = None;
+    for _ in 0..3 {
+        duties.tick().await;
+        assert_eq!(count.load(Ordering::Relaxed), 1);
+    }
+}
+
 fn record(holder: &str) -> LeaseRecord {
     LeaseRecord {
         holder: holder.into(),
