node: locks are taken one after the other when the state for peers is built

Callers would see requests wait for a lock a little longer than needed; nothing was measured. Found by reading, so there is no test.

Cause: guards in a struct expression live to its end. Those of the lease, the prefilled tokens, the usage and the crashes of parts were held while the reports on parts were computed and while the endpoints were locked. In the places read, none takes these locks in the opposite order, so no deadlock is known.

Each guard now ends with a statement of its own. The state contains the same as before.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -401,6 +401,13 @@
         let draining = self.draining_endpoints();
         let (rollouts, evidence) = self.rollout_state();
         let now = Instant::now();
+        // Guards in the struct expression below would live to its end, so that several would be held
+        // at a time.
+        let lease = self.lease.lock().view();
+        let prefilled = self.prefilled.lock().clone();
+        let usage = self.usage.lock().newest(self.shared_window_count());
+        let part_crashes = self.part_crashes.lock().reports(Instant::now());
+        let removed = self.endpoints.lock().recently_removed(Instant::now());
         let crashes = self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES, now);
         let charged = self.quotas.lock().own_totals();
         let refunded = charged.iter().filter(|(_, t)| t.refunded > 0.0);
@@ -416,23 +423,23 @@
             domain: settings.domain.clone(),
             ready: self.is_ready(),
             config: self.config_version(),
-            lease: self.lease.lock().view(),
+            lease,
             loads,
             admitted: charged
                 .iter()
                 .map(|(c, t)| (c.clone(), t.admitted))
                 .collect(),
             refunded: refunded.collect(),
-            prefilled: self.prefilled.lock().clone(),
-            usage: self.usage.lock().newest(self.shared_window_count()),
+            prefilled,
+            usage,
             crash_starts: crashes.iter().map(|(_, _, start)| *start).collect(),
             crashes: crashes.into_iter().map(|(f, id, _)| (f, id)).collect(),
-            part_crashes: self.part_crashes.lock().reports(Instant::now()),
+            part_crashes,
             rollouts,
             evidence,
             draining_starts: draining.iter().map(|(_, start)| *start).collect(),
             draining: draining.into_iter().map(|(id, _)| id).collect(),
-            removed: self.endpoints.lock().recently_removed(Instant::now()),
+            removed,
         }
     }
 
