--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -135,8 +135,8 @@
 
 /// Returns how an exchange ended, from the error of its connection.
 ///
-/// A connection whose peer no longer acknowledges data may be cut on the way, so that it counts as a
-/// timeout.
+/// A connection whose peer no longer acknowledges data may be cut on the way, so that it counts as
+/// a timeout.
 pub fn interruption_of(error: &hyper::Error) -> Interruption {
     let reason = error.to_string();
     let io = std::error::Error::source(error).and_then(|e| e.downcast_ref::<std::io::Error>());
--- a/entry/src/duty.rs
+++ b/entry/src/duty.rs
@@ -37,8 +37,8 @@
 /// Time after the end of a window before its counts are final at the holder, in addition to
 /// [`USAGE_PROPAGATION_REFRESHES`] refresh intervals.
 ///
-/// The sum is limited to half of [`usage_due`](crate::EntrySettings::usage_due); by then the entries
-/// have delivered their counts directly.
+/// The sum is limited to half of [`usage_due`](crate::EntrySettings::usage_due); by then the
+/// entries have delivered their counts directly.
 const USAGE_FINALIZATION_DELAY: Duration = Duration::from_millis(1800);
 
 /// Number of refresh intervals within which the counts of an entry reach the holder.
--- a/entry/src/endpoint_relay.rs
+++ b/entry/src/endpoint_relay.rs
@@ -1,9 +1,9 @@
 //! Readers of the endpoint list in a large system, and the pages that they pass on.
 //!
 //! If every entry read the list, the calls to the platform would grow with the number of entries.
-//! In a failure domain with many entries a few of them read it often and pass on what they read. The
-//! other entries read it themselves only when no page has come for a while, or when one is missing
-//! between the last page and theirs.
+//! In a failure domain with many entries a few of them read it often and pass on what they read.
+//! The other entries read it themselves only when no page has come for a while, or when one is
+//! missing between the last page and theirs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,8 +29,8 @@
 /// Number of readers in each failure domain, so that one may fail.
 const READERS_PER_DOMAIN: usize = 2;
 
-/// Minimum number of entries in a failure domain for some of them not to read the list; in a smaller
-/// one the readers would make more calls than all its entries do otherwise.
+/// Minimum number of entries in a failure domain for some of them not to read the list; in a
+/// smaller one the readers would make more calls than all its entries do otherwise.
 const MIN_DOMAIN_ENTRIES: usize = 12;
 
 /// Maximum number of concurrent calls when a page is passed on.
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -285,7 +285,8 @@
     /// Marks an endpoint as removed because a peer without a list outage observed its removal from
     /// the list; this ends a grace period.
     ///
-    /// Returns `false` if the endpoint is unknown, already counts as removed, or has a newer record.
+    /// Returns `false` if the endpoint is unknown, already counts as removed, or has a newer
+    /// record.
     pub fn mark_removed(&mut self, removed: &RemovedEndpoint, now: Instant) -> bool {
         let Some(endpoint) = self.by_id_mut(&removed.id) else {
             return false;
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -229,8 +229,8 @@
     interval.clamp(MIN_ROUND_INTERVAL, MAX_ROUND_INTERVAL)
 }
 
-/// Runs gossip rounds with one peer each until the process ends, and sends urgent changes to several
-/// peers, at most five times a second.
+/// Runs gossip rounds with one peer each until the process ends, and sends urgent changes to
+/// several peers, at most five times a second.
 pub async fn run_gossip(node: &Arc<Node>) {
     let mut next_urgent = Instant::now();
     loop {
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -106,8 +106,8 @@
     pub usage: Usage,
     /// Requests that crashed endpoints, with the endpoint that crashed.
     pub crashes: Vec<(Fingerprint, EndpointId)>,
-    /// Start of the incarnation of each endpoint in `crashes`, in milliseconds since the Unix epoch;
-    /// empty if the entry does not report it.
+    /// Start of the incarnation of each endpoint in `crashes`, in milliseconds since the Unix
+    /// epoch; empty if the entry does not report it.
     #[serde(default, rename = "crashes_born")]
     pub crash_starts: Vec<u64>,
     /// Evidence on prompt parts that crash endpoints.
@@ -120,8 +120,8 @@
     /// Endpoints that are draining.
     #[serde(rename = "leaving")]
     pub draining: Vec<EndpointId>,
-    /// Start of the incarnation of each endpoint in `draining`, in milliseconds since the Unix epoch;
-    /// empty if the entry does not report it.
+    /// Start of the incarnation of each endpoint in `draining`, in milliseconds since the Unix
+    /// epoch; empty if the entry does not report it.
     #[serde(default, rename = "leaving_born")]
     pub draining_starts: Vec<u64>,
     /// Endpoints recently removed from the list.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -325,8 +325,8 @@
         bounds.max().unwrap_or_default()
     }
 
-    /// Returns how sure it is that a request, by its fingerprint or by a part of its prompt, crashes the
-    /// endpoint that runs it; `None` if it is not expected to.
+    /// Returns how sure it is that a request, by its fingerprint or by a part of its prompt,
+    /// crashes the endpoint that runs it; `None` if it is not expected to.
     pub(crate) fn crash_suspicion(
         &self,
         fingerprint: Fingerprint,
@@ -401,8 +401,8 @@
         let draining = self.draining_endpoints();
         let (rollouts, evidence) = self.rollout_state();
         let now = Instant::now();
-        // Guards in the struct expression below would live to its end, so that several would be held
-        // at a time.
+        // Guards in the struct expression below would live to its end, so that several would be
+        // held at a time.
         let lease = self.lease.lock().view();
         let prefilled = self.prefilled.lock().clone();
         let usage = self.usage.lock().newest(self.shared_window_count());
--- a/entry/src/peer_search.rs
+++ b/entry/src/peer_search.rs
@@ -22,8 +22,8 @@
 const MAX_CONCURRENT_EXCHANGES: usize = 8;
 
 /// Announces this entry's address and contacts announced entries; repeats whenever no peer is live,
-/// the announcement has not succeeded, or the store may have lost it with an earlier era. Runs until
-/// the process ends.
+/// the announcement has not succeeded, or the store may have lost it with an earlier era. Runs
+/// until the process ends.
 pub async fn find_peers<E: FeedClient>(client: Arc<E>, node: Arc<Node>) {
     let settings = &node.settings;
     // Era of the store that has the announcement.
--- a/entry/src/quota.rs
+++ b/entry/src/quota.rs
@@ -167,8 +167,8 @@
         over_quota(needed - bucket.level, quota)
     }
 
-    /// Returns whether a request is so small against the customer's others that such requests hardly
-    /// count towards its quota, and includes it in the average.
+    /// Returns whether a request is so small against the customer's others that such requests
+    /// hardly count towards its quota, and includes it in the average.
     pub fn is_minor(
         &mut self,
         customer: &CustomerName,
--- a/entry/src/rollback.rs
+++ b/entry/src/rollback.rs
@@ -1,5 +1,5 @@
-//! Crashes at endpoints of a version that was rolled back: they are blamed on the version, not on prompt
-//! parts of the requests that ran there.
+//! Crashes at endpoints of a version that was rolled back: they are blamed on the version, not on
+//! prompt parts of the requests that ran there.
 
 use tokio::time::Instant;
 
@@ -13,8 +13,8 @@
 impl Node {
     /// Merges a rollout; returns whether it brought a newer order or a later stage.
     ///
-    /// Once it is rolled back, the crashes so far at endpoints of its target that are still listed no
-    /// longer count against prompt parts.
+    /// Once it is rolled back, the crashes so far at endpoints of its target that are still listed
+    /// no longer count against prompt parts.
     pub fn merge_rollout(&self, rollout: &Rollout) -> bool {
         let is_newer = self.rollouts.lock().merge(rollout);
         if is_newer && is_rolled_back(rollout) {
@@ -40,7 +40,8 @@
 }
 
 impl Reservation {
-    /// Returns whether the request was sent to the target of a rollout that has been rolled back since.
+    /// Returns whether the request was sent to the target of a rollout that has been rolled back
+    /// since.
     pub(crate) fn is_rolled_back(&self) -> bool {
         let rollouts = self.node.rollouts.lock();
         let rollout = rollouts.get(&self.service);
--- a/entry/src/rollout.rs
+++ b/entry/src/rollout.rs
@@ -277,8 +277,8 @@
         Some(number)
     }
 
-    /// Returns a mutable reference to the evidence to which a running request belongs, or `None` if a
-    /// later order has replaced its order.
+    /// Returns a mutable reference to the evidence to which a running request belongs, or `None` if
+    /// a later order has replaced its order.
     pub(crate) fn evidence_of(&mut self, number: u64) -> Option<&mut RolloutEvidence> {
         let request = self.running.get(&number)?;
         let evidence = self.evidence.get_mut(&request.service);
@@ -295,8 +295,8 @@
     /// `split_point` is the random position of the request on the scale of shares, below
     /// [`FULL_SHARE_PERMILLE`], or `None` for a retry, which is not used to try the new version.
     /// `end_ms` is the synchronized time by which the request is expected to end, in milliseconds
-    /// since the Unix epoch. `visible_ms` is the time, likewise, by which the lease holder knows of a
-    /// request that cannot be sent again if it is cut, or `None` for any other.
+    /// since the Unix epoch. `visible_ms` is the time, likewise, by which the lease holder knows of
+    /// a request that cannot be sent again if it is cut, or `None` for any other.
     pub fn version_plan(
         &self,
         service: &ServiceName,
--- a/entry/src/rollout_evidence.rs
+++ b/entry/src/rollout_evidence.rs
@@ -16,7 +16,11 @@
 use crate::rollout_survival::SurvivalTable;
 use crate::rollout_survival::TimeHistogram;
 
-/// Log-likelihood ratio above which a version counts as failing: about one false alarm in 400.
+/// Log-likelihood ratio above which a version counts as failing.
+///
+/// A single test since the start gives a false alarm in about one of 400 rollouts at most. The test
+/// is run on each route and in total, both since the start and over a moving window, so that all of
+/// them together give more.
 const FAILURE_LLR_THRESHOLD: f64 = 6.0;
 
 /// Log-likelihood ratio above which a version is in doubt and not completed.
@@ -406,7 +410,8 @@
     /// Returns whether the new version is more likely slower than tolerated than not.
     ///
     /// Where times hardly differ, a small slowdown is significant as well. Elsewhere it is not, and
-    /// nothing is tolerated: a version that slows only some requests is not much slower in the mean.
+    /// nothing is tolerated: a version that slows only some requests is not much slower in the
+    /// mean.
     fn exceeds_tolerance(&self) -> bool {
         let mut log_rank = LogRank::default();
         for route in self.routes.values() {
--- a/entry/src/rollout_plan.rs
+++ b/entry/src/rollout_plan.rs
@@ -12,7 +12,8 @@
 use crate::RolloutState;
 use crate::Stage;
 
-/// Fraction of the allowed exposure that is planned for; the rest covers a rise of the request rate.
+/// Fraction of the allowed exposure that is planned for; the rest covers a rise of the request
+/// rate.
 const PLANNED_EXPOSURE_FRACTION: f64 = 0.95;
 
 /// Fraction of the allowed exposure at which a cutover is postponed.
@@ -43,8 +44,8 @@
 /// request rate is not reliable yet.
 const MIN_RATE_WARM_UP: Duration = Duration::from_millis(1200);
 
-/// That time in propagation times: the order reaches all entries in the first and their counts reach the
-/// holder in the second.
+/// That time in propagation times: the order reaches all entries in the first and their counts
+/// reach the holder in the second.
 const RATE_WARM_UP_PROPAGATIONS: u32 = 2;
 
 /// Time before the deadline from which a cutover may begin although the allowance covers only the
@@ -78,8 +79,8 @@
 /// Time whose requests suffice for a completion if they are fewer than [`MIN_OUTCOMES`].
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after the deadline from which a version is rolled back if it is still in doubt, too little is
-/// known of it, or its endpoints have left.
+/// Time after the deadline from which a version is rolled back if it is still in doubt, too little
+/// is known of it, or its endpoints have left.
 const MAX_DOUBT: Duration = Duration::from_secs(20);
 
 /// Limit on the requests that a bad version may get: `share` of all requests plus `slack`.
@@ -199,9 +200,9 @@
             .min(MAX_LATE_TRIAL_SHARE_PERMILLE)
     }
 
-    /// Returns the trial share of a postponed cutover: none before the deadline, since it is postponed
-    /// to save the allowance, none at an unmeasured rate, and none for a version that has got enough
-    /// requests to be judged.
+    /// Returns the trial share of a postponed cutover: none before the deadline, since it is
+    /// postponed to save the allowance, none at an unmeasured rate, and none for a version that has
+    /// got enough requests to be judged.
     fn retry_share(&self) -> u32 {
         if !self.time_left().is_zero() || !self.is_rate_measured {
             return 0;
@@ -234,8 +235,8 @@
         self.old_running == 0 || can_skip_wait || self.late(idle_ms) >= MAX_DRAIN_OVERRUN
     }
 
-    /// Returns whether enough is known of the new version: a few outcomes, or as many as the rate of
-    /// requests, now or in the mean since the order, brings in a short time.
+    /// Returns whether enough is known of the new version: a few outcomes, or as many as the rate
+    /// of requests, now or in the mean since the order, brings in a short time.
     fn has_enough_evidence(&self) -> bool {
         let mean_rate = self.sent as f64 / self.elapsed.as_secs_f64().max(1.0);
         let arriving = self.request_rate.max(mean_rate) * EVIDENCE_WINDOW.as_secs_f64();
@@ -251,14 +252,14 @@
         is_overdue && is_stage_settled && self.target_endpoints == 0 && self.exposed > 0
     }
 
-    /// Returns whether requests sent at the planned end of a cutover should have ended, so that outcomes
-    /// that are still missing may never come.
+    /// Returns whether requests sent at the planned end of a cutover should have ended, so that
+    /// outcomes that are still missing may never come.
     fn is_evidence_overdue(&self, idle_ms: u64) -> bool {
         self.late(idle_ms) > self.duration_bound + EVIDENCE_WINDOW
     }
 
-    /// Returns the number of requests that the new version gets, uncounted so far, before all entries
-    /// know that a cutover is postponed now; none if that is too late to have an effect.
+    /// Returns the number of requests that the new version gets, uncounted so far, before all
+    /// entries know that a cutover is postponed now; none if that is too late to have an effect.
     fn unstoppable_requests(&self, idle_ms: u64) -> f64 {
         if self.time_left() <= self.propagation_time {
             return 0.0;
@@ -269,8 +270,8 @@
         self.peak_rate * span.as_secs_f64()
     }
 
-    /// Returns whether the requests that the new version gets before the deadline after a completion,
-    /// which cannot be postponed, are affordable, or it is too late to postpone that.
+    /// Returns whether the requests that the new version gets before the deadline after a
+    /// completion, which cannot be postponed, are affordable, or it is too late to postpone that.
     fn is_completion_affordable(&self, bounds: ExposureBounds) -> bool {
         let requests = self.peak_rate * (self.time_left() + MAX_COUNT_DELAY).as_secs_f64();
         self.time_left() <= self.propagation_time || self.is_affordable(requests, bounds)
--- a/entry/src/send_placement.rs
+++ b/entry/src/send_placement.rs
@@ -1,5 +1,5 @@
-//! Chooses the endpoint of a send, among the versions that the service's rollout allows, and reserves a
-//! slot there.
+//! Chooses the endpoint of a send, among the versions that the service's rollout allows, and
+//! reserves a slot there.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -177,8 +177,8 @@
     }
 }
 
-/// Waits for open connections until shortly before the grace period ends, then cuts them, so that no
-/// response on them looks complete.
+/// Waits for open connections until shortly before the grace period ends, then cuts them, so that
+/// no response on them looks complete.
 pub async fn end_connections(node: &Node, connections: &CallerConnections) {
     let started = node.shutdown_started().unwrap_or_else(Instant::now);
     let end = started + node.settings.grace.saturating_sub(EXIT_MARGIN);
--- a/entry/src/usage_delivery.rs
+++ b/entry/src/usage_delivery.rs
@@ -18,8 +18,8 @@
 /// towards it.
 const MIN_DELIVERY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time per entry over which the first attempts of all entries are spread, so that the rate at which
-/// the holder receives them does not grow with the number of entries.
+/// Time per entry over which the first attempts of all entries are spread, so that the rate at
+/// which the holder receives them does not grow with the number of entries.
 const SPREAD_PER_ENTRY: Duration = Duration::from_millis(7);
 
 /// Maximum time over which they are spread; the holder sums up the counts 5 s after the window.
