serve: a request that arrives during shutdown is logged with the time left that decided

Operators saw, or could have seen, a refused request whose time was below the time left in its `stopping_request` line. Found by reading.

Cause: `left_ms` counted to the end of the grace period; the decision leaves out its last 0.6 s.

Before the fix, test_shutdown_logs_the_time_left_that_decided (a request with a timeout of 4 s, refused) fails:

assertion `left == right` failed left: ["4400"] right: ["3800"]

The time is now computed once, for the decision and the log.

Tests: the subscriber of test_duty moves to testutils and keeps whole lines. With the only subscriber of the process the new test failed in one run: tracing switches a line off in all threads if a thread without a subscriber reaches it first.

--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::quota_owner;
 use crate::reservation::Reservation;
 use crate::shutdown::LateRequest;
+use crate::shutdown::time_left_in_shutdown;
 
 /// Retry-After while no configuration or endpoint list is known.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -134,7 +135,8 @@
         timeout: call.timeout_on(route),
         must_end: route.kind.is_stream() || !route.kind.is_retryable(),
     };
-    let accepted = request.is_accepted(node.settings.grace);
+    let left = time_left_in_shutdown(node.settings.grace, request.since);
+    let accepted = request.is_accepted(left);
     let outcome = if accepted { "accepted" } else { "refused" };
     node.metrics.record_shutdown(outcome);
     tracing::info!(
@@ -142,7 +144,7 @@
         id = call.id,
         outcome,
         since_ms = crate::millis(request.since),
-        left_ms = crate::millis(node.settings.grace.saturating_sub(request.since)),
+        left_ms = crate::millis(left),
         expected_ms = crate::millis(request.expected),
         timeout_ms = crate::millis(request.timeout),
         stream = route.kind.is_stream(),
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -62,12 +62,12 @@
 }
 
 impl LateRequest {
-    /// Returns whether the request is expected to end while the shutdown waits for it.
+    /// Returns whether the request is expected to end while the shutdown waits for it, for the time
+    /// `left`.
     ///
     /// While callers cannot know of other entries yet, its expected duration decides. Later on, one
     /// that must end is accepted only if it times out in time.
-    pub(crate) fn is_accepted(&self, grace: Duration) -> bool {
-        let left = time_left_in_shutdown(grace, self.since);
+    pub(crate) fn is_accepted(&self, left: Duration) -> bool {
         if self.must_end && self.since >= IDLE_CLOSE_DELAY {
             self.timeout <= left
         } else {
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -3,10 +3,7 @@
 
 mod testutils;
 
-use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 
 use hawthornrack_entry::ACQUIRE_GRACE_PERIOD;
 use hawthornrack_entry::BootTime;
@@ -42,17 +39,10 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use std::time::Duration;
+use testutils::Log;
 use testutils::config;
 use testutils::settings;
 use tokio::time::Instant;
-use tracing::Event;
-use tracing::Metadata;
-use tracing::Subscriber;
-use tracing::field::Field;
-use tracing::field::Visit;
-use tracing::span::Attributes;
-use tracing::span::Id;
-use tracing::span::Record;
 
 /// In-memory platform with a lease stream, rollout statuses and usage reports by window.
 #[derive(Debug, Default)]
@@ -373,45 +363,6 @@
     assert_eq!(platform.statuses, expected, "seed {seed}");
 }
 
-/// Subscriber that counts the log lines with a certain event name.
-#[derive(Clone, Debug)]
-struct EventCounter {
-    event: &'static str,
-    count: Arc<AtomicUsize>,
-}
-
-impl Visit for EventCounter {
-    fn record_debug(&mut self, _field: &Field, _value: &dyn fmt::Debug) {}
-
-    fn record_str(&mut self, field: &Field, value: &str) {
-        if field.name() == "event" && value == self.event {
-            self.count.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-}
-
-impl Subscriber for EventCounter {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn new_span(&self, _span: &Attributes<'_>) -> Id {
-        Id::from_u64(1)
-    }
-
-    fn record(&self, _span: &Id, _values: &Record<'_>) {}
-
-    fn record_follows_from(&self, _span: &Id, _follows: &Id) {}
-
-    fn event(&self, event: &Event<'_>) {
-        event.record(&mut self.clone());
-    }
-
-    fn enter(&self, _span: &Id) {}
-
-    fn exit(&self, _span: &Id) {}
-}
-
 // Guards against a log that names stages which never took effect, several times a second while the
 // lease stream refuses appends.
 #[rstest]
@@ -419,12 +370,8 @@
 #[case::response_lost(AppendFault::ResponseLost)]
 #[tokio::test]
 async fn test_duty_stage_is_logged_once_when_it_takes_effect(#[case] fault: AppendFault) {
-    let count = Arc::new(AtomicUsize::new(0));
-    let counter = EventCounter {
-        event: "rollout_stage",
-        count: Arc::clone(&count),
-    };
-    let _guard = tracing::subscriber::set_default(counter);
+    let (log, _guard) = Log::capture();
+    let stage_count = || log.values("rollout_stage", "stage").len();
     let platform = Arc::new(Mutex::new(Platform::default()));
     let (node, mut duties) = reliable_duties(&platform, "a");
     duties.tick().await;
@@ -434,16 +381,12 @@
     let failing_ticks = if fault == AppendFault::Refused { 5 } else { 1 };
     for _ in 0..failing_ticks {
         duties.tick().await;
-        assert_eq!(
-            count.load(Ordering::Relaxed),
-            0,
-            "not known to be in effect"
-        );
+        assert_eq!(stage_count(), 0, "not known to be in effect");
     }
     platform.lock().append_fault = None;
     for _ in 0..3 {
         duties.tick().await;
-        assert_eq!(count.load(Ordering::Relaxed), 1);
+        assert_eq!(stage_count(), 1);
     }
 }
 
--- a/entry/tests/test_shutdown.rs
+++ b/entry/tests/test_shutdown.rs
@@ -22,6 +22,7 @@
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::noop::NoopMeterProvider;
 use rstest::rstest;
+use testutils::Log;
 use testutils::ScriptedClient;
 use testutils::ScriptedSend;
 use testutils::call;
@@ -192,6 +193,27 @@
     );
 }
 
+// The log of a refused request showed more time left than the decision allowed for: a caller's
+// timeout of 4 s beside 4.4 s left.
+#[tokio::test(start_paused = true)]
+async fn test_shutdown_logs_the_time_left_that_decided() {
+    let (log, _guard) = Log::capture();
+    let mut config = config(RouteKind::Once);
+    config.routes["h"][0].timeout = Duration::from_secs(15);
+    let node = node(config, 4);
+    node.begin_shutdown();
+    tokio::time::sleep(Duration::from_millis(3600)).await;
+    let call = Call {
+        timeout: Some(Duration::from_secs(4)),
+        ..call("1")
+    };
+    serve(&node, &ScriptedClient::new([]), call).await;
+    let logged = |field| log.values("stopping_request", field);
+    assert_eq!(logged("outcome"), ["refused"]);
+    assert_eq!(logged("timeout_ms"), ["4000"]);
+    assert_eq!(logged("left_ms"), ["3800"]);
+}
+
 // A branch that gets no requests has no measured duration; the duration assumed for it made an
 // entry refuse requests of a fast route.
 #[tokio::test(start_paused = true)]
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -1,8 +1,11 @@
 //! Fixtures and a scripted endpoint client for the tests.
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -41,6 +44,15 @@
 use opentelemetry::metrics::noop::NoopMeterProvider;
 use parking_lot::Mutex;
 use tokio::time::Instant;
+use tracing::Event;
+use tracing::Metadata;
+use tracing::Subscriber;
+use tracing::field::Field;
+use tracing::field::Visit;
+use tracing::span::Attributes;
+use tracing::span::Id;
+use tracing::span::Record;
+use tracing::subscriber::DefaultGuard;
 
 /// Returns settings of an entry named `name`.
 pub fn settings(name: &str) -> EntrySettings {
@@ -341,3 +353,71 @@
         })
     }
 }
+
+/// Fields of one log line by name.
+#[derive(Debug, Default)]
+struct LogLine(HashMap<&'static str, String>);
+
+impl Visit for LogLine {
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.0.insert(field.name(), format!("{value:?}"));
+    }
+
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.0.insert(field.name(), value.to_owned());
+    }
+}
+
+/// Log lines that are written while it is the subscriber of the test's thread.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    lines: Arc<Mutex<Vec<LogLine>>>,
+}
+
+impl Log {
+    /// Collects the log lines of this thread until the guard is dropped.
+    ///
+    /// As long as there is only one subscriber, a line that another thread reaches first, without a
+    /// subscriber, stays switched off in all threads. A second one prevents that.
+    pub fn capture() -> (Self, DefaultGuard) {
+        static SECOND_SUBSCRIBER: OnceLock<tracing::Dispatch> = OnceLock::new();
+        SECOND_SUBSCRIBER.get_or_init(|| tracing::Dispatch::new(Self::default()));
+        let log = Self::default();
+        let guard = tracing::subscriber::set_default(log.clone());
+        (log, guard)
+    }
+
+    /// Returns the values of a field in the lines of one event.
+    pub fn values(&self, event: &str, field: &str) -> Vec<String> {
+        let lines = self.lines.lock();
+        let lines = lines.iter().map(|line| &line.0);
+        lines
+            .filter(|line| line.get("event").is_some_and(|name| name == event))
+            .filter_map(|line| line.get(field).cloned())
+            .collect()
+    }
+}
+
+impl Subscriber for Log {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn new_span(&self, _span: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _span: &Id, _values: &Record<'_>) {}
+
+    fn record_follows_from(&self, _span: &Id, _follows: &Id) {}
+
+    fn event(&self, event: &Event<'_>) {
+        let mut line = LogLine::default();
+        event.record(&mut line);
+        self.lines.lock().push(line);
+    }
+
+    fn enter(&self, _span: &Id) {}
+
+    fn exit(&self, _span: &Id) {}
+}
