--- a/entry/src/rollback.rs
+++ b/entry/src/rollback.rs
@@ -45,7 +45,8 @@
 }
 
 impl Reservation {
-    /// Returns whether the request was sent to the target of a rollout that has been rolled back since.
+    /// Returns whether the request was sent to the target of a rollout that has been rolled back
+    /// since.
     pub(crate) fn is_rolled_back(&self) -> bool {
         let rollouts = self.node.rollouts.lock();
         let rollout = rollouts.get(&self.service);
--- a/entry/src/shutdown.rs
+++ b/entry/src/shutdown.rs
@@ -62,12 +62,12 @@
 }
 
 impl LateRequest {
-    /// Returns whether the request is expected to end while the shutdown waits for it.
+    /// Returns whether the request is expected to end while the shutdown waits for it, for the time
+    /// `left`.
     ///
     /// While callers cannot know of other entries yet, its expected duration decides. Later on, one
     /// that must end is accepted only if it times out in time.
-    pub(crate) fn is_accepted(&self, grace: Duration) -> bool {
-        let left = time_left_in_shutdown(grace, self.since);
+    pub(crate) fn is_accepted(&self, left: Duration) -> bool {
         if self.must_end && self.since >= IDLE_CLOSE_DELAY {
             self.timeout <= left
         } else {
@@ -177,8 +177,8 @@
     }
 }
 
-/// Waits for open connections until shortly before the grace period ends, then cuts them, so that no
-/// response on them looks complete.
+/// Waits for open connections until shortly before the grace period ends, then cuts them, so that
+/// no response on them looks complete.
 pub async fn end_connections(node: &Node, connections: &CallerConnections) {
     let started = node.shutdown_started().unwrap_or_else(Instant::now);
     let end = started + node.settings.grace.saturating_sub(EXIT_MARGIN);
--- a/entry/tests/test_duty.rs
+++ b/entry/tests/test_duty.rs
@@ -39,6 +39,7 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 use std::time::Duration;
+use testutils::Log;
 use testutils::config;
 use testutils::settings;
 use tokio::time::Instant;
@@ -57,6 +58,15 @@
     token_holders: IndexMap<u64, String>,
     conflicts: usize,
     statuses: Vec<RolloutState>,
+    /// What happens to every append to the lease stream, instead of at random.
+    append_fault: Option<AppendFault>,
+}
+
+/// Fault of an append to the lease stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AppendFault {
+    Refused,
+    ResponseLost,
 }
 
 #[derive(Clone, Debug)]
@@ -105,6 +115,10 @@
             return Err(DutyError::Refused("refused".to_owned()));
         }
         let mut platform = self.platform.lock();
+        let fault = platform.append_fault;
+        if fault == Some(AppendFault::Refused) {
+            return Err(DutyError::Refused("refused".to_owned()));
+        }
         let at = platform.lease_stream.len() as u64;
         if at != end {
             platform.conflicts += 1;
@@ -112,6 +126,9 @@
         }
         platform.lease_stream.push(record.clone());
         drop(platform);
+        if fault == Some(AppendFault::ResponseLost) {
+            return Err(DutyError::Unknown("lost".to_owned()));
+        }
         self.respond(ConditionalAppend::Appended(at))
     }
 
@@ -292,6 +309,15 @@
     );
 }
 
+fn rollout_order() -> RolloutOrder {
+    RolloutOrder {
+        id: 3,
+        service: ServiceName::from("desk"),
+        target: VersionName::from("v2"),
+        within: Duration::from_secs(2),
+    }
+}
+
 /// Records failures of the new version in the evidence of every entry.
 fn record_failures<'a>(nodes: impl Iterator<Item = &'a Node>) {
     for node in nodes {
@@ -310,12 +336,7 @@
     let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
     let mut entries = three_entries(&platform, &rng);
     for (node, _) in &entries {
-        node.apply_rollout_order(RolloutOrder {
-            id: 3,
-            service: ServiceName::from("desk"),
-            target: VersionName::from("v2"),
-            within: Duration::from_secs(2),
-        });
+        node.apply_rollout_order(rollout_order());
     }
     for round in 0..600 {
         if round == 200 {
@@ -342,6 +363,33 @@
     assert_eq!(platform.statuses, expected, "seed {seed}");
 }
 
+// Guards against a log that names stages which never took effect, several times a second while the
+// lease stream refuses appends.
+#[rstest]
+#[case::refused(AppendFault::Refused)]
+#[case::response_lost(AppendFault::ResponseLost)]
+#[tokio::test]
+async fn test_duty_stage_is_logged_once_when_it_takes_effect(#[case] fault: AppendFault) {
+    let (log, _guard) = Log::capture();
+    let stage_count = || log.values("rollout_stage", "stage").len();
+    let platform = Arc::new(Mutex::new(Platform::default()));
+    let (node, mut duties) = reliable_duties(&platform, "a");
+    duties.tick().await;
+    node.apply_rollout_order(rollout_order());
+    platform.lock().append_fault = Some(fault);
+    // A lost response is followed by a read, which shows that the stage took effect.
+    let failing_ticks = if fault == AppendFault::Refused { 5 } else { 1 };
+    for _ in 0..failing_ticks {
+        duties.tick().await;
+        assert_eq!(stage_count(), 0, "not known to be in effect");
+    }
+    platform.lock().append_fault = None;
+    for _ in 0..3 {
+        duties.tick().await;
+        assert_eq!(stage_count(), 1);
+    }
+}
+
 fn record(holder: &str) -> LeaseRecord {
     LeaseRecord {
         holder: holder.into(),
--- a/entry/tests/test_rollout.rs
+++ b/entry/tests/test_rollout.rs
@@ -313,29 +313,64 @@
     assert_eq!((target.answered, target.failed), (answered, failed));
 }
 
-// Requests on the new version of an order that was rolled back counted as evidence on the next order
-// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
-#[rstest]
-#[case::responses(200)]
-#[case::failures(503)]
-#[tokio::test(start_paused = true)]
-async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+/// Serves four requests on the new version of order 4, merges rollouts while they run, and returns
+/// how many outcomes of a new version then count.
+async fn count_outcomes_after(merged: &[Rollout], status: u16) -> u64 {
     let node = node_with_both_versions(Some(stage(RolloutState::InProgress, 1, 1000))).await;
     let delay = Duration::from_millis(400);
     let client = ScriptedClient::new(vec![ScriptedSend::RespondAfter(status, delay); 12]);
     let ids: Vec<String> = (0..4).map(|number| number.to_string()).collect();
     let requests = ids.iter().map(|id| serve(&node, &client, call(id)));
-    let later_order = async {
+    let merge = async {
         tokio::time::sleep(delay / 2).await;
-        let mut later = rollout(5, Some(stage(RolloutState::InProgress, 1, 0)));
-        later.order.target = VersionName::from("v3");
-        node.rollouts.lock().merge(&later);
+        for rollout in merged {
+            node.rollouts.lock().merge(rollout);
+        }
     };
-    tokio::join!(futures_util::future::join_all(requests), later_order);
+    tokio::join!(futures_util::future::join_all(requests), merge);
     let evidence = node.rollouts.lock().evidence();
     let targets = evidence[&desk()].routes.values().map(|sides| &sides.target);
-    let outcomes: u64 = targets.map(|t| t.answered + t.failed).sum();
-    assert_eq!(outcomes, 0);
+    targets.map(|t| t.answered + t.failed).sum()
+}
+
+/// Returns a rollout to a target without a share.
+fn rollout_to(target: &str, id: u64) -> Rollout {
+    let mut rollout = rollout(id, Some(stage(RolloutState::InProgress, 1, 0)));
+    rollout.order.target = VersionName::from(target);
+    rollout
+}
+
+// Requests on the new version of an order that was rolled back counted as evidence on the next order
+// if they ended after it had arrived: a good version was rolled back for the times of a slow one.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_earlier_order_are_no_evidence(#[case] status: u16) {
+    assert_eq!(
+        count_outcomes_after(&[rollout_to("v3", 5)], status).await,
+        0
+    );
+}
+
+// Such requests counted again once the store had come back from an older copy and the next order
+// was written there under another number.
+#[rstest]
+#[case::responses(200)]
+#[case::failures(503)]
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_an_order_before_a_renumbered_one_are_no_evidence(
+    #[case] status: u16,
+) {
+    let merged = [rollout_to("v3", 5), rollout_to("v3", StoreEra(1).number(5))];
+    assert_eq!(count_outcomes_after(&merged, status).await, 0);
+}
+
+// Guards against a renumbered order that loses the outcomes of its own requests.
+#[tokio::test(start_paused = true)]
+async fn test_rollout_requests_of_a_renumbered_order_are_evidence() {
+    let renumbered = rollout_to("v2", StoreEra(1).number(4));
+    assert_eq!(count_outcomes_after(&[renumbered], 200).await, 4);
 }
 
 fn chosen_version(table: &EndpointTable) -> Option<String> {
@@ -975,6 +1010,31 @@
     assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
 }
 
+/// Adds requests that were sent to old versions to the evidence of an entry.
+fn record_old_sends(node: &Node, count: u64) {
+    let mut rollouts = node.rollouts.lock();
+    let evidence = rollouts.evidence_mut(&desk()).unwrap();
+    evidence.side_mut("/a/", VersionSide::Old).sent += count;
+}
+
+// A holder that got the lease back took the mean since its earlier term, in which hardly any
+// requests came, for the current rate, and sent all requests to the new version too early.
+#[tokio::test(start_paused = true)]
+async fn test_rollout_holder_that_regains_the_lease_measures_the_rate_anew() {
+    let node = node_with_both_versions(None).await;
+    let mut ordered = rollout(5, Some(stage(RolloutState::InProgress, 1, 30)));
+    ordered.seen_ms = node.synchronized_millis() - 4_000;
+    node.rollouts.lock().merge(&ordered);
+    record_old_sends(&node, 200);
+    let mut driver = RolloutDriver::default();
+    // The earlier term, the time of another holder, and the new term.
+    for (sent, pause_ms) in [(0, 1_000), (50, 6_000), (20, 1_000), (100, 0)] {
+        record_old_sends(&node, sent);
+        assert_eq!(driver.due_stage_changes(&node, Instant::now()), []);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 // Guards against a finished rollout that starts again: the operator's order was written once more
 // after the store came back from an older copy, and has another number there.
 #[test]
