feeds: a read after a failed one does not wait for updates

A read waits for updates, 10.5 s with 62 entries, and times out a second later. With most entries in such a read, few are left that can pass the configuration on.

After a failed read the next one now asks without waiting, until one has succeeded: a second and a backoff of at most 0.8 s apart.

test_feed_reads_updates_soon_after_the_store_was_silent failed before: version 1 in force 2 s after version 9 was written, not 9.

--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -164,7 +164,7 @@
             // Pages that readers have passed on may have moved it.
             from = node.list.lock().position();
         }
-        match read_next(&*client, &node, feed, from).await {
+        match read_next(&*client, &node, feed, from, reachable).await {
             Ok(next) => {
                 if !std::mem::replace(&mut reachable, true) {
                     tracing::info!(event = "dependency_regained", ?feed);
@@ -187,13 +187,16 @@
 }
 
 /// Reads the feed once; returns the next position, or `None` to start over from a snapshot.
+///
+/// `reachable` is whether the last read succeeded.
 async fn read_next<E: FeedClient>(
     client: &E,
     node: &Arc<Node>,
     feed: Feed,
     from: Option<Position>,
+    reachable: bool,
 ) -> Result<Option<Position>, FeedError> {
-    let next = read_from(client, node, feed, from).await?;
+    let next = read_from(client, node, feed, from, reachable).await?;
     if feed == Feed::Endpoints && next.is_none() {
         node.list.lock().reset();
     }
@@ -205,6 +208,7 @@
     node: &Arc<Node>,
     feed: Feed,
     from: Option<Position>,
+    reachable: bool,
 ) -> Result<Option<Position>, FeedError> {
     let Some(position) = from else {
         return read_snapshot(client, node, feed).await;
@@ -215,6 +219,8 @@
         Feed::Endpoints => list_role(node),
     };
     let wait = match role {
+        // A read that waits would only show after the wait whether the store responds again.
+        _ if !reachable => Duration::ZERO,
         ListRole::Single => poll_wait(node),
         ListRole::Reader => batch_delay(node, feed) / READER_DIVISOR,
         ListRole::Follower => Duration::ZERO,
--- a/entry/tests/test_feed.rs
+++ b/entry/tests/test_feed.rs
@@ -207,3 +207,74 @@
     assert_eq!(client.positions(), [None, Some(30), None, Some(28)]);
     assert_eq!(node.config().unwrap().version, 9);
 }
+
+/// Time after a read's wait at which it fails if the store does not respond.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Store that does not respond to reads that it gets or holds in a period, and has a configuration
+/// some time after that.
+#[derive(Debug)]
+struct SilentStore {
+    silent_from: Instant,
+    silent_until: Instant,
+    config_at: Instant,
+}
+
+impl FeedClient for SilentStore {
+    fn store_era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
+    async fn snapshot(&self, _feed: Feed) -> Result<Updates, FeedError> {
+        Ok(updates(Vec::new(), 0))
+    }
+
+    async fn read(
+        &self,
+        _feed: Feed,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Option<Updates>, FeedError> {
+        if from > 0 {
+            std::future::pending::<()>().await;
+        }
+        let sent_at = Instant::now();
+        let ends_at = (sent_at + wait).min(self.config_at.max(sent_at));
+        if sent_at < self.silent_until && ends_at >= self.silent_from {
+            tokio::time::sleep(wait + CALL_TIMEOUT).await;
+            return Err(FeedError("no response".to_owned()));
+        }
+        tokio::time::sleep_until(ends_at).await;
+        if ends_at < self.config_at {
+            return Ok(Some(updates(Vec::new(), 0)));
+        }
+        let mut newest = config(RouteKind::Once);
+        newest.version = 9;
+        Ok(Some(updates(vec![Update::Config(Box::new(newest))], 1)))
+    }
+
+    async fn announce(&self, _name: &EntryName, _address: SocketAddr) -> Result<(), FeedError> {
+        Ok(())
+    }
+
+    async fn announced_entries(&self) -> Result<Vec<(EntryName, SocketAddr)>, FeedError> {
+        Ok(Vec::new())
+    }
+}
+
+// Guards against a configuration that is in force late after the store was silent: a read that waits
+// for updates was sent while it was, and failed long after it had responded again.
+#[tokio::test(start_paused = true)]
+async fn test_feed_reads_updates_soon_after_the_store_was_silent() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let store = Arc::new(SilentStore {
+        silent_from: at(4_000),
+        silent_until: at(8_000),
+        config_at: at(8_500),
+    });
+    let node = node(config(RouteKind::Once), 1);
+    tokio::spawn(follow_feed(store, Arc::clone(&node), Feed::Orders));
+    tokio::time::sleep_until(at(10_500)).await;
+    assert_eq!(node.own_state().config, 9);
+}
