endpoints: what an endpoint says of its rate limit is logged and counted

An endpoint in need states in its responses how many requests a second it takes from all entries together. No log line told which entry had learnt of it, since when, and which sends it applied to, so that three hypotheses on the incident (no entry reads it; each keeps to it alone; only retries escape it) could not be told apart.

Lines: endpoint_limit, endpoint_limit_malformed, and limit in placed. Counter: hawthornrack_limited_requests. No decision depends on the limit yet.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,12 +14,12 @@
 use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
-use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
 use crate::Interruption;
 use crate::Node;
+use crate::RateLimit;
 use crate::Refusal;
 use crate::RefusalKind;
 use crate::Route;
@@ -181,6 +181,10 @@
 
     /// Logs the chosen endpoint; first sends are rate-limited, retries are always logged.
     fn log_placement(&self, reservation: &Reservation) {
+        let limit = reservation.limit();
+        if limit.is_some() {
+            reservation.node.metrics.record_limited("sent");
+        }
         if self.sends == 0 && !log_limit::allows("placed") {
             return;
         }
@@ -191,6 +195,7 @@
             endpoint = %reservation.endpoint,
             side = ?reservation.side,
             prefill = reservation.occupancy.prefill,
+            limit = limit.map(RateLimit::per_second),
             sends = self.sends,
             last_event = self.last_event,
             config = self.request.config.version,
@@ -353,7 +358,7 @@
     ) {
         let now = Instant::now();
         let sent = reservation.started;
-        let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
+        let process = reservation.process();
         let mut tracker = node.part_crashes.lock();
         for part in self.request.call.shared_parts() {
             if states_end {
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -10,6 +10,7 @@
 use crate::Call;
 use crate::CustomerName;
 use crate::EndpointId;
+use crate::LimitNotice;
 
 /// Maximum size of a response that is buffered, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -41,12 +42,14 @@
 }
 
 /// What an endpoint says of its availability in a response.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointNotice {
     /// Whether the endpoint leaves and takes no more requests soon.
     pub leaving: bool,
     /// Time for which the endpoint wants no requests from this entry.
     pub retry_after: Option<Duration>,
+    /// What the endpoint says of its rate limit.
+    pub limit: LimitNotice,
 }
 
 /// How a send or a stream ended without the endpoint saying whether it ran the request.
@@ -72,7 +75,7 @@
 }
 
 /// Reason why a send failed.
-#[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, displaydoc::Display, PartialEq, thiserror::Error)]
 pub enum SendFailure {
     /// request was not written: {0}
     NotWritten(String),
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -17,6 +17,7 @@
     latency: Histogram<f64>,
     sends: Counter<u64>,
     shutdown: Counter<u64>,
+    limited: Counter<u64>,
 }
 
 impl Metrics {
@@ -40,6 +41,12 @@
                 .u64_counter("hawthornrack_shutdown_requests")
                 .with_description("Requests during graceful shutdown, by outcome")
                 .build(),
+            limited: meter
+                .u64_counter("hawthornrack_limited_requests")
+                .with_description(
+                    "Requests for endpoints that have stated a rate limit, by outcome",
+                )
+                .build(),
         }
     }
 
@@ -54,6 +61,11 @@
         self.shutdown.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request for an endpoint that has stated a rate limit by what became of it.
+    pub fn record_limited(&self, outcome: &'static str) {
+        self.limited.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a send to an endpoint by outcome.
     pub fn record_send(&self, outcome: &'static str) {
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -28,6 +28,7 @@
 use crate::ExposureBounds;
 use crate::Fingerprint;
 use crate::LeaseState;
+use crate::LimitTable;
 use crate::ListCursor;
 use crate::MedianClock;
 use crate::Members;
@@ -103,6 +104,8 @@
     pub list: Mutex<ListCursor>,
     /// Quotas of customers.
     pub quotas: Mutex<QuotaLedger>,
+    /// Rate limits that endpoints have stated.
+    pub limits: Mutex<LimitTable>,
     /// Retry budget by service.
     pub retries: Mutex<RetryBudget>,
     /// Rollouts of versions.
@@ -156,6 +159,7 @@
             endpoints: Mutex::default(),
             list: Mutex::default(),
             quotas: Mutex::new(QuotaLedger::new(settings.first_start)),
+            limits: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
             crashes: Mutex::default(),
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -9,11 +9,14 @@
 use crate::EndpointKey;
 use crate::EndpointNotice;
 use crate::EndpointProcess;
+use crate::LimitNotice;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
+use crate::RateLimit;
 use crate::ServiceName;
 use crate::VersionSide;
+use crate::log_limit;
 
 /// Capacity that a request occupies at an endpoint; released when the value is dropped.
 #[derive(Debug)]
@@ -77,6 +80,17 @@
         self.update_evidence(|outcomes| outcomes.failed += 1);
     }
 
+    /// Returns the process that the request is sent to.
+    pub(crate) fn process(&self) -> EndpointProcess {
+        EndpointProcess::new(&self.endpoint, self.incarnation)
+    }
+
+    /// Returns the rate limit that the endpoint has stated, if any.
+    pub(crate) fn limit(&self) -> Option<RateLimit> {
+        let limits = self.node.limits.lock();
+        limits.limit_of(self.process())
+    }
+
     /// Returns whether the endpoint is still expected to serve requests.
     pub(crate) fn is_endpoint_serving(&self, now: Instant) -> bool {
         let endpoints = self.node.endpoints.lock();
@@ -86,9 +100,8 @@
 
     /// Records that the endpoint has not crashed before this send.
     fn record_alive(&self) {
-        let process = EndpointProcess::new(&self.endpoint, self.incarnation);
         let mut tracker = self.node.part_crashes.lock();
-        tracker.record_alive(process, self.started);
+        tracker.record_alive(self.process(), self.started);
     }
 
     fn update_evidence(&self, update: impl FnOnce(&mut Outcomes)) {
@@ -132,6 +145,26 @@
                 pause_ms = crate::millis(duration),
             );
         }
+        self.apply_limit(notice.limit, now);
+    }
+
+    /// Applies what the endpoint said of its rate limit.
+    fn apply_limit(&self, notice: LimitNotice, now: Instant) {
+        if notice == LimitNotice::Malformed && log_limit::allows("endpoint_limit_malformed") {
+            tracing::warn!(event = "endpoint_limit_malformed", endpoint = %self.endpoint);
+        }
+        let mut limits = self.node.limits.lock();
+        let change = limits.record_response(self.process(), notice, self.started, now);
+        drop(limits);
+        if let Some(change) = change {
+            tracing::info!(
+                event = "endpoint_limit",
+                endpoint = %self.endpoint,
+                limit = change.limit.map(RateLimit::per_second),
+                previous = change.previous.map(RateLimit::per_second),
+                source = "response",
+            );
+        }
     }
 
     /// Marks the endpoint as accepting no more requests.
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -4,7 +4,6 @@
 
 use crate::Call;
 use crate::EndpointNotice;
-use crate::EndpointProcess;
 use crate::EndpointResponse;
 use crate::Interruption;
 use crate::Node;
@@ -65,7 +64,7 @@
 
 /// Records a crash of the endpoint under each part of the request that others may hold too.
 fn record_part_crashes(node: &Node, call: &Call, reservation: &Reservation, now: Instant) {
-    let process = EndpointProcess::new(&reservation.endpoint, reservation.incarnation);
+    let process = reservation.process();
     let mut tracker = node.part_crashes.lock();
     let mut is_urgent = false;
     for part in call.shared_parts() {
--- a/entry/tests/test_serve.rs
+++ b/entry/tests/test_serve.rs
@@ -416,6 +416,7 @@
         notice: EndpointNotice {
             leaving: false,
             retry_after: Some(pause),
+            ..EndpointNotice::default()
         },
     });
     let client = ScriptedClient::new([rejected, ScriptedSend::Respond(200)]);
