--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod members;
 mod metrics;
 mod node;
+mod owner;
 mod part_completions;
 mod part_crash;
 mod part_evidence;
--- a/entry/src/quota_owner.rs
+++ b/entry/src/quota_owner.rs
@@ -6,7 +6,6 @@
 //! agree on it without coordination. Entries that know different members may ask different owners;
 //! each owner learns of the others' decisions by gossip.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -19,6 +18,9 @@
 use crate::EntryName;
 use crate::Node;
 use crate::QuotaTotals;
+use crate::owner::OwnedKey;
+use crate::owner::Owner;
+use crate::owner::choose_owner;
 use crate::refresh_interval;
 
 /// Maximum refresh interval at which each entry decides by itself on what its peers report.
@@ -79,7 +81,9 @@
 
 /// Returns the decision of the owner; `None` if this entry is the owner or the owner gives none.
 async fn ask_owner(node: &Node, customer: &Customer, units: f64) -> Option<Admission> {
-    let (owner, address) = find_owner(node, &customer.name)?;
+    let Some(Owner::Peer(owner, address)) = find_owner(node, &customer.name) else {
+        return None;
+    };
     let request = QuotaRequest {
         entry: node.settings.name.clone(),
         incarnation: node.incarnation(),
@@ -104,20 +108,17 @@
     Some(Admission::OverQuota(Duration::from_millis(wait_ms)))
 }
 
-/// Returns the ready entry with the highest hash for the customer; `None` if that is this one.
-fn find_owner(node: &Node, customer: &CustomerName) -> Option<(EntryName, SocketAddr)> {
-    let seed = xxhash_rust::xxh3::xxh3_64(customer.as_str().as_bytes());
-    let hash =
-        |name: &EntryName| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), seed);
+/// Returns the entry that decides for a customer, among the ready ones that are not passed over.
+fn find_owner(node: &Node, customer: &CustomerName) -> Option<Owner> {
     let now = Instant::now();
     let avoided = node.avoided_owners.lock();
     let is_avoided = |name: &EntryName| avoided.get(name).is_some_and(|until| now < *until);
     let members = node.members.lock();
     let ready = members.live(now).filter(|p| p.state.ready);
     let peers = ready.filter(|p| !is_avoided(&p.state.name));
-    let owner = peers.max_by_key(|p| hash(&p.state.name))?;
-    let is_own = hash(&node.settings.name) >= hash(&owner.state.name);
-    (!is_own).then(|| (owner.state.name.clone(), owner.state.peer_address))
+    let peers = peers.map(|p| (&p.state.name, p.state.peer_address));
+    let key = OwnedKey::new(customer.as_str());
+    choose_owner(key, Some(&node.settings.name), peers)
 }
 
 /// Decides on a peer's request as the owner of its customer; `None` if the customer is unknown.
