limits: all entries together keep to the rate that an endpoint states

Cause: no entry read the statement. Class: what one entry is told binds all, but has no way to the others and to the decision that it is about. A fix within each entry would not do: a limit may allow an entry far less than one request a second.

Now: one entry, the owner of an endpoint's limit, grants permits from a token bucket, for first sends, retries and resumed streams alike. Without a permit nothing is sent; the request goes to another endpoint, or is refused at once with the time until the next permit. Changes of limits are passed on to random peers at once and by gossip. An owner must have been in contact with peers for long enough that all know of it; entries that are cut off from each other divide the limit.

Ruled out: fixed shares (hardly used at 1 a second with 300 entries) and turns by the clock (a turn is lost if its entry has no request).

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Reserves a slot at the best endpoint.
+    /// Reserves a slot at the best endpoint, with a permit if the endpoint has stated a rate limit.
     ///
     /// The first send waits briefly while all endpoints are full; a retry does not wait.
     async fn acquire_reservation(&mut self, node: &Arc<Node>) -> Result<Reservation, Refusal> {
@@ -155,10 +155,19 @@
                 return Err(self.final_refusal(RefusalKind::Crashing, after));
             }
             let freed = node.slot_freed.notified();
-            match self.reserve_by_rollout(node, now) {
-                Ok(reservation) => {
-                    self.log_placement(&reservation);
-                    return Ok(reservation);
+            match self.choose_by_rollout(node, now) {
+                Ok(placement) => {
+                    if let Some(reservation) = self.reserve_with_permit(node, &placement).await {
+                        self.log_placement(&reservation);
+                        return Ok(reservation);
+                    }
+                }
+                Err(Choice::Unavailable { wait, limited }) => {
+                    // Nothing but time helps: waits only if that is soon enough.
+                    if self.sends > 0 || now + wait > wait_deadline {
+                        return Err(self.unavailable_refusal(node, wait, limited));
+                    }
+                    tokio::time::sleep(wait).await;
                 }
                 Err(Choice::Full(wait)) if now >= wait_deadline || self.sends > 0 => {
                     self.log_unplaced(node, Some(wait));
@@ -179,12 +188,20 @@
         }
     }
 
+    /// Returns the refusal of a request that no endpoint takes for the time `wait`, for a rate limit
+    /// if `limited`.
+    fn unavailable_refusal(&self, node: &Node, wait: Duration, limited: bool) -> Refusal {
+        self.log_unplaced(node, Some(wait));
+        if limited {
+            self.final_refusal(RefusalKind::Limited, Some(wait))
+        } else {
+            let after = wait.max(OVERLOAD_RETRY_AFTER);
+            self.final_refusal(RefusalKind::Overloaded, Some(after))
+        }
+    }
+
     /// Logs the chosen endpoint; first sends are rate-limited, retries are always logged.
     fn log_placement(&self, reservation: &Reservation) {
-        let limit = reservation.limit();
-        if limit.is_some() {
-            reservation.node.metrics.record_limited("sent");
-        }
         if self.sends == 0 && !log_limit::allows("placed") {
             return;
         }
@@ -195,7 +212,7 @@
             endpoint = %reservation.endpoint,
             side = ?reservation.side,
             prefill = reservation.occupancy.prefill,
-            limit = limit.map(RateLimit::per_second),
+            limit = reservation.limit().map(RateLimit::per_second),
             sends = self.sends,
             last_event = self.last_event,
             config = self.request.config.version,
@@ -216,6 +233,7 @@
             service = %self.service,
             endpoints = candidates().count(),
             avoided = candidates().filter(|(_, e)| e.load.is_avoided(now)).count(),
+            held = candidates().filter(|(_, e)| !e.load.hold_left(now).is_zero()).count(),
             running = running.sum::<u64>(),
             slots = slots.sum::<u64>(),
             sends = self.sends,
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -83,6 +83,8 @@
     avoid_until: Option<Instant>,
     /// End of the time for which the endpoint wants no requests from this entry.
     paused_until: Option<Instant>,
+    /// End of the time for which no permit for the endpoint's rate limit is to be had.
+    held_until: Option<Instant>,
     latency_ms: Option<f64>,
 }
 
@@ -167,6 +169,22 @@
         until.saturating_duration_since(now)
     }
 
+    /// Records that no permit for the endpoint's rate limit is to be had for a time.
+    pub fn hold(&mut self, duration: Duration, now: Instant) {
+        self.held_until = Some(now + duration);
+    }
+
+    /// Ends what [`EndpointLoad::hold`] has recorded, because the limit has changed.
+    pub fn end_hold(&mut self) {
+        self.held_until = None;
+    }
+
+    /// Returns for how long no permit for the endpoint's rate limit is to be had.
+    pub fn hold_left(&self, now: Instant) -> Duration {
+        let until = self.held_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
         self.running.saturating_add(self.peers.running)
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -17,10 +17,12 @@
 use crate::EndpointRecord;
 use crate::EntryName;
 use crate::EntryState;
+use crate::LimitReport;
 use crate::Node;
 use crate::PeerLoad;
 use crate::RelayedState;
 use crate::StateRevision;
+use crate::apply_limit_reports;
 use crate::log_limit;
 use crate::wall_millis;
 
@@ -80,6 +82,7 @@
 /// Merges a peer's request and returns what the peer does not know.
 pub fn handle_exchange(node: &Node, exchange: GossipRequest) -> GossipReply {
     let now = Instant::now();
+    node.contact.lock().record(now);
     let GossipRequest {
         own,
         digest,
@@ -105,6 +108,7 @@
 /// Applies a peer's reply to the node.
 pub fn apply_reply(node: &Node, reply: GossipReply) {
     let now = Instant::now();
+    node.contact.lock().record(now);
     if let Some(config) = reply.config {
         node.apply_config(config, "peer");
     }
@@ -169,6 +173,7 @@
         drop(parts);
         node.announce_crashing_parts(Some(&name));
     }
+    apply_limit_reports(node, &current_reports(state, updated_at, now), Some(&name));
     for rollout in &state.rollouts {
         if node.merge_rollout(rollout) {
             tracing::info!(
@@ -193,6 +198,15 @@
     }
 }
 
+/// Returns what a state says of endpoints' rate limits, with the time since it was published added.
+fn current_reports(state: &EntryState, updated_at: Instant, now: Instant) -> Vec<LimitReport> {
+    let mut reports = state.limits.clone();
+    for report in &mut reports {
+        report.add_age(now.saturating_duration_since(updated_at));
+    }
+    reports
+}
+
 /// Applies the current membership: removes peers that have been silent for too long from members,
 /// quotas and clocks, passes the number of entries to the quotas, and sums the endpoint loads of
 /// all live peers.
@@ -235,6 +249,7 @@
     let mut next_urgent = Instant::now();
     loop {
         node.record_own_clock();
+        forget_limits(node);
         if let Some((name, address)) = choose_peer(node) {
             exchange_with(node, name.as_ref(), address).await;
         }
@@ -250,6 +265,13 @@
     }
 }
 
+/// Forgets limits and permits that are no longer of use.
+fn forget_limits(node: &Node) {
+    let now = Instant::now();
+    node.limits.lock().remove_expired(now);
+    node.permits.lock().remove_idle(now);
+}
+
 /// Waits for an urgent change, until `not_before` at least; one that comes earlier is kept.
 async fn urgent_change(node: &Node, not_before: Instant) {
     tokio::time::sleep_until(not_before).await;
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -14,6 +14,7 @@
 use crate::EntryName;
 use crate::Fingerprint;
 use crate::LeaseView;
+use crate::LimitReport;
 use crate::PartReport;
 use crate::QuotaTotals;
 use crate::RemovedEndpoint;
@@ -91,6 +92,12 @@
     pub config: u64,
     /// Newest lease known to the entry.
     pub lease: Option<LeaseView>,
+    /// Time since the entry has been in contact with peers without a gap, in milliseconds.
+    #[serde(default)]
+    pub in_contact_ms: u64,
+    /// What the entry has heard of endpoints' rate limits.
+    #[serde(default)]
+    pub limits: Vec<LimitReport>,
     /// Load that the entry places on endpoints.
     #[serde(rename = "shares")]
     pub loads: Vec<EndpointLoadReport>,
@@ -195,6 +202,14 @@
     pub updated_at: Instant,
 }
 
+impl Peer {
+    /// Returns the time since the peer has been in contact with others without a gap.
+    pub fn time_in_contact(&self, now: Instant) -> Duration {
+        let before_update = Duration::from_millis(self.state.in_contact_ms);
+        before_update.saturating_add(now.saturating_duration_since(self.updated_at))
+    }
+}
+
 /// The known peers of an entry.
 #[derive(Debug, Default)]
 pub struct Members {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -35,6 +35,7 @@
 use crate::Metrics;
 use crate::PartCrashTracker;
 use crate::PeerClient;
+use crate::PermitLedger;
 use crate::QuotaLedger;
 use crate::RetryBounds;
 use crate::RetryBudget;
@@ -47,6 +48,7 @@
 use crate::StateRevision;
 use crate::Usage;
 use crate::WindowIndex;
+use crate::contact::Contact;
 use crate::part_evidence::Suspicion;
 use crate::refresh_interval;
 use crate::wall_millis;
@@ -106,6 +108,8 @@
     pub quotas: Mutex<QuotaLedger>,
     /// Rate limits that endpoints have stated.
     pub limits: Mutex<LimitTable>,
+    /// Permits for endpoints whose limits this entry owns.
+    pub permits: Mutex<PermitLedger>,
     /// Retry budget by service.
     pub retries: Mutex<RetryBudget>,
     /// Rollouts of versions.
@@ -137,6 +141,8 @@
     pub slot_freed: Notify,
     /// Starts an immediate gossip exchange after an urgent change.
     pub gossip_now: Notify,
+    /// Wakes the task that announces changes of endpoints' rate limits.
+    pub limit_changed: Notify,
     /// Wakes tasks that wait for a new configuration.
     pub config_changed: Notify,
     /// Cancelled when graceful shutdown starts.
@@ -147,6 +153,8 @@
     config: RwLock<Option<Arc<Config>>>,
     /// State that is sent to peers, with the time it was built.
     cached_state: Mutex<Option<(Instant, EntryState)>>,
+    /// Contact with peers.
+    pub(crate) contact: Mutex<Contact>,
     incarnation: u64,
     sequence: AtomicU64,
     in_flight: AtomicU64,
@@ -160,6 +168,7 @@
             list: Mutex::default(),
             quotas: Mutex::new(QuotaLedger::new(settings.first_start)),
             limits: Mutex::default(),
+            permits: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
             crashes: Mutex::default(),
@@ -175,12 +184,14 @@
             metrics,
             slot_freed: Notify::new(),
             gossip_now: Notify::new(),
+            limit_changed: Notify::new(),
             config_changed: Notify::new(),
             stopping: CancellationToken::new(),
             ending: CancellationToken::new(),
             shutdown_started: OnceLock::new(),
             config: RwLock::new(None),
             cached_state: Mutex::default(),
+            contact: Mutex::new(Contact::new(Instant::now())),
             incarnation: wall_millis(),
             sequence: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
@@ -363,15 +374,20 @@
     }
 
     /// Returns this entry's state for peers, rebuilt once per refresh interval or when readiness
-    /// changes; its version of the configuration and the ages in its reports of prompt parts are
-    /// always the current ones.
+    /// changes; its version of the configuration, its time in contact with peers and the ages in its reports are always
+    /// the current ones.
     pub fn own_state(&self) -> EntryState {
         let mut state = self.recent_state();
         // Peers send the complete configuration to an entry that states an older version.
         state.config = self.config_version();
+        state.in_contact_ms = self.in_contact_ms(Instant::now());
         state
     }
 
+    fn in_contact_ms(&self, now: Instant) -> u64 {
+        crate::millis(self.contact.lock().duration(now))
+    }
+
     fn recent_state(&self) -> EntryState {
         let now = Instant::now();
         let interval = if self.rollouts.lock().is_cutting_over() {
@@ -385,8 +401,12 @@
                 if now.duration_since(*at) < interval && state.ready == self.is_ready() =>
             {
                 let mut state = state.clone();
+                let kept = now.duration_since(*at);
                 for report in &mut state.part_crashes {
-                    report.add_age(now.duration_since(*at));
+                    report.add_age(kept);
+                }
+                for report in &mut state.limits {
+                    report.add_age(kept);
                 }
                 state
             }
@@ -416,6 +436,7 @@
         let prefilled = self.prefilled.lock().clone();
         let usage = self.usage.lock().newest(self.shared_window_count());
         let part_crashes = self.part_crashes.lock().reports(Instant::now());
+        let limits = self.limits.lock().reports(now);
         let removed = self.endpoints.lock().recently_removed(Instant::now());
         let crashes = self.crashes.lock().recent_crashes(MAX_SHARED_CRASHES, now);
         let charged = self.quotas.lock().own_totals();
@@ -433,6 +454,8 @@
             ready: self.is_ready(),
             config: self.config_version(),
             lease,
+            in_contact_ms: self.in_contact_ms(now),
+            limits,
             loads,
             admitted: charged
                 .iter()
--- a/entry/src/peer_rpc.rs
+++ b/entry/src/peer_rpc.rs
@@ -18,11 +18,16 @@
 use crate::EndpointPage;
 use crate::GossipReply;
 use crate::GossipRequest;
+use crate::LimitReport;
 use crate::Node;
+use crate::PermitReply;
+use crate::PermitRequest;
 use crate::QuotaDecision;
 use crate::QuotaRequest;
 use crate::UsageDelivery;
+use crate::apply_limit_reports;
 use crate::apply_page;
+use crate::decide_permit;
 use crate::decide_quota;
 use crate::handle_exchange;
 
@@ -51,6 +56,14 @@
     /// Charges a customer's quota at the customer's owner.
     #[method(name = "charge")]
     async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>>;
+
+    /// Asks the owner of an endpoint's rate limit for a permit to send one request.
+    #[method(name = "permit")]
+    async fn permit(&self, request: PermitRequest) -> RpcResult<PermitReply>;
+
+    /// Announces changes of endpoints' rate limits.
+    #[method(name = "limits")]
+    async fn limits(&self, reports: Vec<LimitReport>) -> RpcResult<()>;
 }
 
 struct PeerHandler {
@@ -75,6 +88,15 @@
     async fn charge(&self, request: QuotaRequest) -> RpcResult<Option<QuotaDecision>> {
         Ok(decide_quota(&self.node, &request))
     }
+
+    async fn permit(&self, request: PermitRequest) -> RpcResult<PermitReply> {
+        Ok(decide_permit(&self.node, &request))
+    }
+
+    async fn limits(&self, reports: Vec<LimitReport>) -> RpcResult<()> {
+        apply_limit_reports(&self.node, &reports, None);
+        Ok(())
+    }
 }
 
 /// Starts a server for peers' calls, which runs until the process ends.
@@ -133,6 +155,22 @@
         self.call("charge", address, call).await.flatten()
     }
 
+    /// Asks a peer for a permit to send one request to an endpoint; `None` if it gives no decision.
+    pub async fn request_permit(
+        &self,
+        address: SocketAddr,
+        request: PermitRequest,
+    ) -> Option<PermitReply> {
+        let call = async |client: HttpClient| client.permit(request).await;
+        self.call("permit", address, call).await
+    }
+
+    /// Tells a peer of changes of endpoints' rate limits.
+    pub async fn announce_limits(&self, address: SocketAddr, reports: Vec<LimitReport>) {
+        let call = async |client: HttpClient| client.limits(reports).await;
+        self.call("limits", address, call).await;
+    }
+
     async fn call<T>(
         &self,
         method: &'static str,
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -84,6 +84,14 @@
     },
     /// Every endpoint is full or its wait is too long; holds the shortest expected wait.
     Full(Duration),
+    /// Every endpoint takes no requests for a time of its own choice, so that no request that ends
+    /// makes room.
+    Unavailable {
+        /// Shortest time until one takes requests again.
+        wait: Duration,
+        /// Whether that is for its rate limit.
+        limited: bool,
+    },
     /// No endpoint is left to try.
     NoEndpoint,
 }
@@ -123,15 +131,22 @@
 ) -> Choice {
     let mut best: Option<(f64, EndpointKey, u32)> = None;
     let mut shortest_wait: Option<Duration> = None;
+    let mut is_any_full = false;
+    let mut limited = false;
     for (key, endpoint) in table.candidates(request.service, now) {
         let is_excluded = subset.is_some_and(|subset| !subset.contains(&key));
         if is_excluded || request.tried.contains(&key) || !has_allowed_version(endpoint, request) {
             continue;
         }
-        let pause = endpoint.load.pause_left(now);
-        let wait = expected_wait(endpoint, request, now).max(pause);
-        if !pause.is_zero() || is_full(endpoint, request) || wait > request.max_wait {
-            shortest_wait = Some(shortest_wait.map_or(wait, |s| s.min(wait)));
+        let hold = endpoint.load.hold_left(now);
+        let unavailable = endpoint.load.pause_left(now).max(hold);
+        let wait = expected_wait(endpoint, request, now).max(unavailable);
+        if !unavailable.is_zero() || is_full(endpoint, request) || wait > request.max_wait {
+            is_any_full |= unavailable.is_zero();
+            if shortest_wait.is_none_or(|shortest| wait < shortest) {
+                shortest_wait = Some(wait);
+                limited = unavailable == hold && !hold.is_zero();
+            }
             continue;
         }
         let (cost, prefill) = estimate_cost(endpoint, request, preferred == Some(key), now);
@@ -141,7 +156,8 @@
     }
     match (best, shortest_wait) {
         (Some((_, key, prefill)), _) => Choice::Send { key, prefill },
-        (None, Some(wait)) => Choice::Full(wait),
+        (None, Some(wait)) if is_any_full => Choice::Full(wait),
+        (None, Some(wait)) => Choice::Unavailable { wait, limited },
         (None, None) => Choice::NoEndpoint,
     }
 }
@@ -166,7 +182,7 @@
     table
         .candidates(request.service, now)
         .filter(|(_, e)| has_allowed_version(e, request) && !e.load.is_avoided(now))
-        .filter(|(_, e)| e.load.pause_left(now).is_zero())
+        .filter(|(_, e)| e.load.pause_left(now).is_zero() && e.load.hold_left(now).is_zero())
         .max_by_key(|(_, e)| rendezvous_hash(e))
         .map(|(key, _)| key)
 }
--- a/entry/src/rate_limit.rs
+++ b/entry/src/rate_limit.rs
@@ -1,14 +1,39 @@
 //! Rate limits that endpoints state in their responses.
+//!
+//! A limit holds for all entries together, but a response reaches one of them. Entries therefore
+//! tell each other what they have heard. Statements are ordered by when an endpoint made them.
+
+use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::EndpointId;
 use crate::EndpointProcess;
 
+/// Minimum time between two announcements of changes of one limit, so that an endpoint that changes
+/// its limit in each response does not keep all entries busy.
+const MIN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which an entry tells its peers what it has heard itself, and for which the end of a
+/// limit is remembered.
+const REPORT_RETENTION: Duration = Duration::from_mins(1);
+
+/// Time after which a limit is forgotten if no entry has heard of it again.
+const LIMIT_RETENTION: Duration = Duration::from_mins(10);
+
+/// Maximum number of limits that an entry includes in its state for peers.
+const MAX_SHARED_LIMITS: usize = 32;
+
+/// Maximum number of limits that an entry remembers.
+const MAX_LIMITS: usize = 4096;
+
 /// Requests per second that an endpoint takes from all entries together.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "f64")]
 pub struct RateLimit(f64);
 
 impl RateLimit {
@@ -23,6 +48,19 @@
     }
 }
 
+/// Error of a rate that is negative or not finite.
+#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
+#[displaydoc("not a number of requests per second")]
+pub struct InvalidRate;
+
+impl TryFrom<f64> for RateLimit {
+    type Error = InvalidRate;
+
+    fn try_from(per_second: f64) -> Result<Self, InvalidRate> {
+        Self::new(per_second).ok_or(InvalidRate)
+    }
+}
+
 /// What a response says of its endpoint's rate limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitNotice {
@@ -35,6 +73,26 @@
     Malformed,
 }
 
+/// What an entry tells its peers of an endpoint's rate limit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitReport {
+    /// Id of the endpoint.
+    pub endpoint: EndpointId,
+    /// Start of the endpoint's incarnation, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Limit; `None` if it has ended.
+    pub limit: Option<RateLimit>,
+    /// Time since the endpoint said so, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl LimitReport {
+    /// Adds the time for which the report was kept before it is sent.
+    pub(crate) fn add_age(&mut self, kept: Duration) {
+        self.age_ms = self.age_ms.saturating_add(crate::millis(kept));
+    }
+}
+
 /// A change of what is known of an endpoint's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -44,23 +102,55 @@
     pub limit: Option<RateLimit>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct KnownLimit {
+/// Newest statement of an endpoint process.
+#[derive(Clone, Debug)]
+struct Statement {
+    endpoint: EndpointId,
+    incarnation: u64,
     limit: Option<RateLimit>,
     /// Time as of which the endpoint said so.
     stated_at: Instant,
+    /// Whether this entry has received a response that says so.
+    is_own: bool,
+    /// Time before which no further change is announced.
+    next_announcement: Instant,
+}
+
+impl Statement {
+    fn report(&self, now: Instant) -> LimitReport {
+        LimitReport {
+            endpoint: self.endpoint.clone(),
+            incarnation: self.incarnation,
+            limit: self.limit,
+            age_ms: crate::millis(now.saturating_duration_since(self.stated_at)),
+        }
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let retention = match self.limit {
+            Some(_) => LIMIT_RETENTION,
+            None => REPORT_RETENTION,
+        };
+        now.saturating_duration_since(self.stated_at) >= retention
+    }
 }
 
 /// Newest rate limit of each endpoint process that has stated one.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    limits: IndexMap<EndpointProcess, KnownLimit>,
+    statements: IndexMap<EndpointProcess, Statement>,
+    /// Processes with a change that has not been announced to peers.
+    unannounced: IndexSet<EndpointProcess>,
 }
 
 impl LimitTable {
     /// Returns the limit of an endpoint process; `None` if there is none.
-    pub fn limit_of(&self, process: EndpointProcess) -> Option<RateLimit> {
-        self.limits.get(&process)?.limit
+    pub fn limit_of(&self, endpoint: &EndpointId, incarnation: u64) -> Option<RateLimit> {
+        if self.statements.is_empty() {
+            return None;
+        }
+        let process = EndpointProcess::new(endpoint, incarnation);
+        self.statements.get(&process)?.limit
     }
 
     /// Records what the response to a request that was sent at `sent` says.
@@ -71,32 +161,125 @@
     /// Returns the change, if there is one.
     pub fn record_response(
         &mut self,
-        process: EndpointProcess,
+        endpoint: &EndpointId,
+        incarnation: u64,
         notice: LimitNotice,
         sent: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
-        match notice {
-            LimitNotice::Limited(limit) => self.update(process, Some(limit), now),
-            LimitNotice::Unlimited if self.limits.contains_key(&process) => {
-                self.update(process, None, sent)
-            }
-            LimitNotice::Malformed | LimitNotice::Unlimited => None,
+        let (limit, stated_at) = match notice {
+            LimitNotice::Unlimited if self.statements.is_empty() => return None,
+            LimitNotice::Malformed => return None,
+            LimitNotice::Limited(limit) => (Some(limit), now),
+            LimitNotice::Unlimited => (None, sent),
+        };
+        let statement = Statement {
+            endpoint: endpoint.clone(),
+            incarnation,
+            limit,
+            stated_at,
+            is_own: true,
+            next_announcement: now,
+        };
+        self.update(statement)
+    }
+
+    /// Records a peer's report; returns the change, if there is one.
+    pub fn merge(&mut self, report: &LimitReport, now: Instant) -> Option<LimitChange> {
+        let age = Duration::from_millis(report.age_ms);
+        let statement = Statement {
+            endpoint: report.endpoint.clone(),
+            incarnation: report.incarnation,
+            limit: report.limit,
+            stated_at: now.checked_sub(age)?,
+            is_own: false,
+            next_announcement: now,
+        };
+        if statement.is_expired(now) {
+            return None;
         }
+        self.update(statement)
     }
 
-    fn update(
-        &mut self,
-        process: EndpointProcess,
-        limit: Option<RateLimit>,
-        stated_at: Instant,
-    ) -> Option<LimitChange> {
-        let known = self.limits.get(&process);
-        if known.is_some_and(|known| known.stated_at > stated_at) {
+    /// Returns what this entry knows of a limited endpoint process.
+    pub fn report_of(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: u64,
+        now: Instant,
+    ) -> Option<LimitReport> {
+        let process = EndpointProcess::new(endpoint, incarnation);
+        let statement = self.statements.get(&process)?;
+        statement.limit.is_some().then(|| statement.report(now))
+    }
+
+    /// Returns what this entry has heard itself, newest first, to be sent to peers.
+    pub fn reports(&self, now: Instant) -> Vec<LimitReport> {
+        let own = self.statements.values().filter(|s| s.is_own);
+        let age = |s: &Statement| now.saturating_duration_since(s.stated_at);
+        let mut own: Vec<&Statement> = own.filter(|s| age(s) < REPORT_RETENTION).collect();
+        own.sort_by_key(|s| age(s));
+        own.truncate(MAX_SHARED_LIMITS);
+        own.into_iter().map(|s| s.report(now)).collect()
+    }
+
+    /// Takes the changes that are to be announced to peers at `now`.
+    pub fn take_announcements(&mut self, now: Instant) -> Vec<LimitReport> {
+        let mut due = Vec::new();
+        let statements = &mut self.statements;
+        self.unannounced.retain(|process| {
+            let Some(statement) = statements.get_mut(process) else {
+                return false;
+            };
+            if now < statement.next_announcement {
+                return true;
+            }
+            statement.next_announcement = now + MIN_ANNOUNCEMENT_INTERVAL;
+            due.push(statement.report(now));
+            false
+        });
+        due
+    }
+
+    /// Returns when the next announcement is due; `None` if there is none.
+    pub fn next_announcement(&self) -> Option<Instant> {
+        let unannounced = self.unannounced.iter();
+        let statements = unannounced.filter_map(|process| self.statements.get(process));
+        statements.map(|s| s.next_announcement).min()
+    }
+
+    /// Forgets limits of which no entry has heard for long.
+    pub fn remove_expired(&mut self, now: Instant) {
+        self.statements.retain(|_, s| !s.is_expired(now));
+    }
+
+    fn update(&mut self, mut statement: Statement) -> Option<LimitChange> {
+        let process = EndpointProcess::new(&statement.endpoint, statement.incarnation);
+        let Some(known) = self.statements.get(&process) else {
+            let limit = statement.limit?;
+            self.insert(process, statement);
+            let (previous, limit) = (None, Some(limit));
+            return Some(LimitChange { previous, limit });
+        };
+        if known.stated_at > statement.stated_at {
+            return None;
+        }
+        let (previous, limit) = (known.limit, statement.limit);
+        statement.next_announcement = known.next_announcement;
+        if previous == limit {
+            statement.is_own |= known.is_own;
+            self.statements.insert(process, statement);
             return None;
         }
-        let previous = known.and_then(|known| known.limit);
-        self.limits.insert(process, KnownLimit { limit, stated_at });
-        (previous != limit).then_some(LimitChange { previous, limit })
+        self.insert(process, statement);
+        Some(LimitChange { previous, limit })
+    }
+
+    fn insert(&mut self, process: EndpointProcess, statement: Statement) {
+        self.statements.insert(process, statement);
+        self.unannounced.insert(process);
+        if self.statements.len() > MAX_LIMITS {
+            self.statements.shift_remove_index(0);
+        }
     }
 }
--- a/entry/src/refusal.rs
+++ b/entry/src/refusal.rs
@@ -21,6 +21,8 @@
     NoEndpoint,
     /// the endpoints cannot serve the request in time
     Overloaded,
+    /// every endpoint gets as many requests as the rate limit that it has stated allows
+    Limited,
     /// the request has crashed the endpoints that ran it
     Crashing,
     /// the process is shutting down
@@ -49,6 +51,7 @@
             Self::NoConfig
             | Self::NoEndpoint
             | Self::Overloaded
+            | Self::Limited
             | Self::Crashing
             | Self::Stopping
             | Self::Rejected
@@ -69,6 +72,7 @@
             Self::OverQuota => "over_quota",
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
+            Self::Limited => "limited",
             Self::Crashing => "crashing",
             Self::Stopping => "stopping",
             Self::Rejected => "rejected",
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -16,6 +16,8 @@
 use crate::RateLimit;
 use crate::ServiceName;
 use crate::VersionSide;
+use crate::limit_news::LimitSource;
+use crate::limit_news::apply_limit_change;
 use crate::log_limit;
 
 /// Capacity that a request occupies at an endpoint; released when the value is dropped.
@@ -88,7 +90,7 @@
     /// Returns the rate limit that the endpoint has stated, if any.
     pub(crate) fn limit(&self) -> Option<RateLimit> {
         let limits = self.node.limits.lock();
-        limits.limit_of(self.process())
+        limits.limit_of(&self.endpoint, self.incarnation)
     }
 
     /// Returns whether the endpoint is still expected to serve requests.
@@ -154,16 +156,11 @@
             tracing::warn!(event = "endpoint_limit_malformed", endpoint = %self.endpoint);
         }
         let mut limits = self.node.limits.lock();
-        let change = limits.record_response(self.process(), notice, self.started, now);
+        let (id, incarnation) = (&self.endpoint, self.incarnation);
+        let change = limits.record_response(id, incarnation, notice, self.started, now);
         drop(limits);
         if let Some(change) = change {
-            tracing::info!(
-                event = "endpoint_limit",
-                endpoint = %self.endpoint,
-                limit = change.limit.map(RateLimit::per_second),
-                previous = change.previous.map(RateLimit::per_second),
-                source = "response",
-            );
+            apply_limit_change(&self.node, id, change, LimitSource::Response);
         }
     }
 
--- a/entry/src/send_placement.rs
+++ b/entry/src/send_placement.rs
@@ -1,5 +1,5 @@
-//! Chooses the endpoint of a send, among the versions that the service's rollout allows, and
-//! reserves a slot there.
+//! Chooses the endpoint of a send, among the versions that the service's rollout allows, obtains a
+//! permit if the endpoint has stated a rate limit, and reserves a slot there.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,26 +7,44 @@
 use tokio::time::Instant;
 
 use crate::Choice;
+use crate::EndpointId;
+use crate::EndpointKey;
 use crate::Node;
 use crate::Occupancy;
+use crate::Permit;
 use crate::PlacementRequest;
 use crate::ServiceName;
 use crate::VersionFilter;
 use crate::VersionName;
 use crate::VersionPlan;
 use crate::VersionSide;
+use crate::acquire_permit;
 use crate::attempt::Attempts;
 use crate::choose_endpoint;
 use crate::reservation::Reservation;
 use crate::rollout_driver::propagation_time;
 
+/// The endpoint that was chosen for a send.
+#[derive(Clone, Debug)]
+pub(crate) struct Placement {
+    key: EndpointKey,
+    endpoint: EndpointId,
+    incarnation: u64,
+    /// Prompt tokens that are not cached there.
+    prefill: u32,
+}
+
 impl Attempts {
-    /// Reserves a slot at an endpoint of the versions that the service's rollout allows.
-    pub(crate) fn reserve_by_rollout(
-        &mut self,
+    /// Chooses an endpoint of the versions that the service's rollout allows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the choice if it is not an endpoint.
+    pub(crate) fn choose_by_rollout(
+        &self,
         node: &Arc<Node>,
         now: Instant,
-    ) -> Result<Reservation, Choice> {
+    ) -> Result<Placement, Choice> {
         let is_retry = self.sends > 0;
         let split_point = (!is_retry).then_some(self.split_point);
         let now_ms = node.synchronized_millis();
@@ -38,26 +56,26 @@
         let plan = rollouts.version_plan(&self.service, split_point, end_ms, visible_ms);
         drop(rollouts);
         match &plan {
-            VersionPlan::Unrestricted => self.reserve_among(node, VersionFilter::Any, now),
+            VersionPlan::Unrestricted => self.choose_among(node, VersionFilter::Any, now),
             VersionPlan::OldOnly(target) => {
-                self.reserve_among(node, VersionFilter::Without(target), now)
+                self.choose_among(node, VersionFilter::Without(target), now)
             }
             VersionPlan::TargetFirst(target) => self
-                .reserve_among(node, VersionFilter::Only(target), now)
-                .or_else(|_| self.reserve_among(node, VersionFilter::Without(target), now)),
+                .choose_among(node, VersionFilter::Only(target), now)
+                .or_else(|_| self.choose_among(node, VersionFilter::Without(target), now)),
             VersionPlan::TargetIfAny(target) => {
-                let new = self.reserve_among(node, VersionFilter::Only(target), now);
+                let new = self.choose_among(node, VersionFilter::Only(target), now);
                 if matches!(new, Err(Choice::NoEndpoint)) {
-                    return self.reserve_among(node, VersionFilter::Without(target), now);
+                    return self.choose_among(node, VersionFilter::Without(target), now);
                 }
                 new
             }
             VersionPlan::OldFirst(target) => {
-                let old = self.reserve_among(node, VersionFilter::Without(target), now);
+                let old = self.choose_among(node, VersionFilter::Without(target), now);
                 if matches!(old, Err(Choice::NoEndpoint))
                     && !has_old_endpoints(node, &self.service, target, now)
                 {
-                    return self.reserve_among(node, VersionFilter::Only(target), now);
+                    return self.choose_among(node, VersionFilter::Only(target), now);
                 }
                 old
             }
@@ -79,12 +97,12 @@
         estimator.upper_bound(route, tokens)
     }
 
-    fn reserve_among(
-        &mut self,
+    fn choose_among(
+        &self,
         node: &Arc<Node>,
         versions: VersionFilter<'_>,
         now: Instant,
-    ) -> Result<Reservation, Choice> {
+    ) -> Result<Placement, Choice> {
         let request = &self.request;
         let service = request.config.services.get(&self.service);
         let placement_request = PlacementRequest {
@@ -96,12 +114,54 @@
             tried: &self.tried,
             max_wait: request.route.objective.min(request.deadline - now),
         };
-        let mut endpoints = node.endpoints.lock();
+        let endpoints = node.endpoints.lock();
         let (key, prefill) = match choose_endpoint(&endpoints, &placement_request, now) {
             Choice::Send { key, prefill } => (key, prefill),
             other => return Err(other),
         };
-        let endpoint = endpoints.get_mut(key).ok_or(Choice::NoEndpoint)?;
+        let record = &endpoints.get(key).ok_or(Choice::NoEndpoint)?.record;
+        Ok(Placement {
+            key,
+            prefill,
+            endpoint: record.id.clone(),
+            incarnation: record.incarnation,
+        })
+    }
+
+    /// Reserves a slot at the chosen endpoint, with a permit if it has stated a rate limit.
+    ///
+    /// Returns `None` if there is no permit or the endpoint takes no more requests; then another
+    /// choice is due.
+    pub(crate) async fn reserve_with_permit(
+        &self,
+        node: &Arc<Node>,
+        placement: &Placement,
+    ) -> Option<Reservation> {
+        let (endpoint, incarnation) = (&placement.endpoint, placement.incarnation);
+        let ask = async |address, request| node.peers.request_permit(address, request).await;
+        let permit = acquire_permit(node, endpoint, incarnation, ask).await;
+        match permit {
+            Permit::Granted => self.reserve(node, placement, Instant::now()),
+            Permit::After(wait) => {
+                let mut endpoints = node.endpoints.lock();
+                let endpoint = endpoints.get_mut(placement.key)?;
+                endpoint.load.hold(wait, Instant::now());
+                None
+            }
+        }
+    }
+
+    /// Reserves a slot at the chosen endpoint; `None` if it takes no more requests.
+    fn reserve(
+        &self,
+        node: &Arc<Node>,
+        placement: &Placement,
+        now: Instant,
+    ) -> Option<Reservation> {
+        let Placement { key, prefill, .. } = *placement;
+        let request = &self.request;
+        let mut endpoints = node.endpoints.lock();
+        let endpoint = endpoints.get_mut(key).filter(|e| e.accepts_requests(now))?;
         let tokens = request
             .call
             .prompt
@@ -126,7 +186,7 @@
             let mut prefilled = node.prefilled.lock();
             *prefilled.entry(self.service.clone()).or_default() += u64::from(prefill);
         }
-        Ok(Reservation {
+        Some(Reservation {
             node: Arc::clone(node),
             key,
             endpoint: id,
