--- a/entry/tests/test_limits_serve.rs
+++ b/entry/tests/test_limits_serve.rs
@@ -74,7 +74,7 @@
         assert_eq!(refusal.kind, RefusalKind::Limited);
         assert_eq!(started.elapsed(), Duration::ZERO);
         let after = refusal.retry_after.unwrap();
-        tokio::time::sleep(after - Duration::from_millis(60)).await;
+        tokio::time::sleep(after.saturating_sub(Duration::from_millis(60))).await;
         assert!(
             send(&node, &client).await.is_err(),
             "before the time has come"
