connection: a request is not sent twice on a connection on which it was rejected

What another operator saw: a server wrote an earlier rejection once more on a kept connection, and callers were told that a request had not run which the server had run.

Here the id of the response is compared, so that a rejection of another request is no response. But when two ids of the list lead to the same address, a rejected request was sent to it again on the same connection, and the copy of the rejection, with the right id, was taken for the response: 503 with Retry-After for a request that had run. A connection now remembers the requests that were rejected on it and is not used for them again.

--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use parking_lot::Mutex;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -44,6 +45,9 @@
 /// Maximum number of idle connections kept per server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
+/// Number of rejected requests after which a connection is closed.
+const MAX_REJECTIONS: usize = 16;
+
 /// Error of a request that got no response.
 #[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
 pub enum ExchangeError {
@@ -68,6 +72,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Whether a request has been sent on this connection.
     pub is_used: bool,
+    /// Ids of the requests that the server has rejected on this connection.
+    rejected: IndexSet<String>,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -99,6 +105,7 @@
         Ok(Self {
             sender,
             is_used: false,
+            rejected: IndexSet::new(),
             idle_since: Instant::now(),
             idle_timeout: Duration::ZERO,
         })
@@ -128,6 +135,11 @@
         }
     }
 
+    /// Records that the server has rejected the request with this id.
+    pub fn record_rejection(&mut self, id: &str) {
+        self.rejected.insert(id.to_owned());
+    }
+
     fn is_usable(&self, max_idle: Duration) -> bool {
         self.sender.is_ready() && self.idle_since.elapsed() < self.idle_timeout.min(max_idle)
     }
@@ -180,20 +192,24 @@
 
 impl ConnectionPool {
     /// Removes and returns a usable connection that has been idle for less than `max_idle`.
-    pub fn take(&self, server: SocketAddr, max_idle: Duration) -> Option<Connection> {
+    ///
+    /// A connection on which the server has rejected the request with this id before is left out: a
+    /// late copy of the rejection would be taken for the response to it.
+    pub fn take(&self, server: SocketAddr, max_idle: Duration, id: &str) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&server)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_usable(max_idle) {
-                return Some(connection);
-            }
-        }
-        None
+        let is_suitable = |c: &Connection| c.is_usable(max_idle) && !c.rejected.contains(id);
+        let index = connections.iter().rposition(is_suitable)?;
+        Some(connections.remove(index))
     }
 
     /// Returns a connection to the pool for at most `idle_timeout`; its last response must have
-    /// been read completely. The connection is closed if the pool of the server is full.
+    /// been read completely. The connection is closed if the pool of the server is full or after
+    /// [`MAX_REJECTIONS`].
     pub fn put_back(&self, server: SocketAddr, mut connection: Connection, idle_timeout: Duration) {
+        if connection.rejected.len() >= MAX_REJECTIONS {
+            return;
+        }
         connection.idle_since = Instant::now();
         connection.idle_timeout = idle_timeout;
         let mut idle = self.idle.lock();
