relay: a broken stream goes on with the rest of it only

What another operator saw: a stream had begun and broke off, the next server responded with an error, and callers found it in the middle of their stream, or a stream that looked complete.

Here a response with a failure status broke the stream, as it should. But any success went on as the rest: a JSON error with status 200, a 206, or a 204, which ended the stream as complete. The response must now have the status and the content type of the first one; otherwise the stream breaks and the endpoint counts as failed.

--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use tokio::time::Instant;
 
 use crate::ChunkStream;
@@ -44,6 +47,8 @@
     node: Arc<Node>,
     client: Arc<E>,
     attempts: Attempts,
+    /// Head of the first response, which the caller gets.
+    head: StreamHead,
     source: Option<Source<E>>,
     splitter: EventSplitter,
     /// Start of the wait for the next event; comments do not end it.
@@ -52,6 +57,22 @@
     _in_flight: InFlightGuard,
 }
 
+/// What the head of a stream's response says of its body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct StreamHead {
+    status: u16,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamHead {
+    pub(crate) fn new(status: u16, headers: &HeaderMap) -> Self {
+        Self {
+            status,
+            content_type: headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Source<E: EndpointClient> {
     body: E::Body,
@@ -115,14 +136,16 @@
         node: Arc<Node>,
         client: Arc<E>,
         attempts: Attempts,
-        body: E::Body,
-        reservation: Reservation,
+        head: StreamHead,
+        source: (E::Body, Reservation),
     ) -> Self {
+        let (body, reservation) = source;
         let in_flight = node.track_request();
         Self {
             node,
             client,
             attempts,
+            head,
             source: Some(Source::new(body, reservation)),
             splitter: EventSplitter::default(),
             waiting_since: None,
@@ -212,18 +235,25 @@
             run.map_err(|refusal| StreamBroken(refusal.kind.to_string()))?;
         let EndpointResponse {
             status,
+            headers,
             body,
             states_end,
             ..
         } = response;
+        // A success with another head is no part of the stream: an error, for example.
+        let is_same_stream = StreamHead::new(status, &headers) == self.head;
         match body {
-            ResponseBody::Stream(body) if status < 300 => {
+            ResponseBody::Stream(body) if is_same_stream => {
                 self.source = Some(Source::new(body, reservation));
                 Ok(())
             }
             _ => {
-                self.attempts
-                    .record_response(&self.node, &reservation, status, states_end);
+                if status < 300 {
+                    reservation.record_failed_response();
+                } else {
+                    self.attempts
+                        .record_response(&self.node, &reservation, status, states_end);
+                }
                 Err(StreamBroken(format!("resume failed with status {status}")))
             }
         }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -24,6 +24,7 @@
 use crate::attempt::Attempts;
 use crate::log_limit;
 use crate::quota_owner;
+use crate::relay::StreamHead;
 use crate::reservation::Reservation;
 use crate::shutdown::LateRequest;
 use crate::shutdown::time_left_in_shutdown;
@@ -270,8 +271,8 @@
                 Arc::clone(node),
                 Arc::clone(client),
                 attempts,
-                body,
-                reservation,
+                StreamHead::new(status, &headers),
+                (body, reservation),
             );
             let has_begun = tokio::select! {
                 biased;
