owner: a pending answer does not make an owner silent

What callers saw: nothing in tests; quotas of large systems may be exceeded a little.

Cause: an entry that asked a quota's owner marked it as silent before the answer came, so that a request in the meantime asked the next entry by rank, which does not know what the owner admits at that moment.

Owners of quotas and of rate limits now share the wait for an answer, and an owner counts as silent only once it has not answered (test_peer_rpc_concurrent_charges_ask_the_same_owner failed before). An endpoint whose limit's owner is known to be silent is left alone without asking.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -49,6 +49,7 @@
 use crate::Usage;
 use crate::WindowIndex;
 use crate::contact::Contact;
+use crate::owner::SilentOwners;
 use crate::part_evidence::Suspicion;
 use crate::refresh_interval;
 use crate::wall_millis;
@@ -132,9 +133,8 @@
     pub lease: Mutex<LeaseState>,
     /// Client for calls to peers.
     pub peers: PeerClient,
-    /// Entries that did not answer a request to charge a quota, with the time until which they are
-    /// passed over.
-    pub avoided_owners: Mutex<IndexMap<EntryName, Instant>>,
+    /// Owners of quotas and limits that did not answer lately.
+    pub(crate) silent_owners: Mutex<SilentOwners>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes requests that wait for a free slot.
@@ -182,7 +182,7 @@
             members: Mutex::default(),
             lease: Mutex::default(),
             peers: PeerClient::default(),
-            avoided_owners: Mutex::default(),
+            silent_owners: Mutex::default(),
             metrics,
             slot_freed: Notify::new(),
             gossip_now: Notify::new(),
--- a/entry/src/owner.rs
+++ b/entry/src/owner.rs
@@ -4,8 +4,19 @@
 //! without coordination, and each entry owns an equal part of the matters.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
 
 use crate::EntryName;
+use crate::Node;
+
+/// Time within which an owner must have answered.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Time for which an owner that did not answer is not asked.
+pub(crate) const SILENT_OWNER_PERIOD: Duration = Duration::from_secs(1);
 
 /// Hash of a matter that one entry owns.
 #[derive(Clone, Copy, Debug)]
@@ -46,3 +57,39 @@
     }
     best.map(|(name, address)| Owner::Peer(name.clone(), address))
 }
+
+/// Owners that did not answer lately.
+#[derive(Debug, Default)]
+pub(crate) struct SilentOwners {
+    silent_until: IndexMap<EntryName, Instant>,
+}
+
+impl SilentOwners {
+    pub(crate) fn contains(&self, owner: &EntryName, now: Instant) -> bool {
+        let until = self.silent_until.get(owner);
+        until.is_some_and(|until| now < *until)
+    }
+
+    fn record(&mut self, owner: &EntryName, now: Instant) {
+        self.silent_until.retain(|_, until| now < *until);
+        self.silent_until
+            .insert(owner.clone(), now + SILENT_OWNER_PERIOD);
+    }
+}
+
+impl Node {
+    /// Waits for an owner's answer; `None` if it fails or does not come in time.
+    pub(crate) async fn answer_of<T>(
+        &self,
+        owner: &EntryName,
+        answer: impl Future<Output = Option<T>>,
+    ) -> Option<T> {
+        let answer = tokio::time::timeout(ASK_TIMEOUT, answer).await;
+        let answer = answer.ok().flatten();
+        if answer.is_none() {
+            let mut silent_owners = self.silent_owners.lock();
+            silent_owners.record(owner, Instant::now());
+        }
+        answer
+    }
+}
--- a/entry/src/permit.rs
+++ b/entry/src/permit.rs
@@ -23,15 +23,10 @@
 use crate::apply_limit_reports;
 use crate::owner::OwnedKey;
 use crate::owner::Owner;
+use crate::owner::SILENT_OWNER_PERIOD;
 use crate::owner::choose_owner;
 use crate::refresh_interval;
 
-/// Time within which an owner must have answered.
-const ASK_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Time for which an endpoint is left alone after its owner did not answer.
-const SILENT_OWNER_WAIT: Duration = Duration::from_secs(1);
-
 /// Time for which an endpoint is left alone while entries disagree on its owner.
 const UNKNOWN_OWNER_WAIT: Duration = Duration::from_millis(300);
 
@@ -56,6 +51,14 @@
     pub wait_ms: Option<u64>,
 }
 
+impl PermitReply {
+    fn permit(self) -> Permit {
+        self.wait_ms.map_or(Permit::Granted, |ms| {
+            Permit::After(Duration::from_millis(ms))
+        })
+    }
+}
+
 /// Obtains a permit to send one request to an endpoint; one without a limit needs none.
 ///
 /// `ask` asks the peer at an address and returns its reply, `None` if it fails.
@@ -73,24 +76,34 @@
     let (outcome, permit) = match find_owner(node, endpoint, now) {
         None => ("unowned", Permit::After(UNKNOWN_OWNER_WAIT)),
         Some(Owner::Own) => decided(take_permit(node, &limit, now)),
-        Some(Owner::Peer(name, address)) => {
-            let answered = tokio::time::timeout(ASK_TIMEOUT, ask(address, PermitRequest { limit }));
-            match answered.await.ok().flatten() {
-                Some(PermitReply { wait_ms: None }) => decided(Permit::Granted),
-                Some(PermitReply { wait_ms: Some(ms) }) => {
-                    decided(Permit::After(Duration::from_millis(ms)))
-                }
-                None => {
-                    tracing::info!(event = "limit_owner_silent", %endpoint, owner = %name);
-                    ("unanswered", Permit::After(SILENT_OWNER_WAIT))
-                }
-            }
+        Some(Owner::Peer(owner, address)) => {
+            let answer = ask(address, PermitRequest { limit });
+            let permit = permit_of_peer(node, endpoint, &owner, answer).await;
+            let unanswered = ("unanswered", Permit::After(SILENT_OWNER_PERIOD));
+            permit.map_or(unanswered, decided)
         }
     };
     node.metrics.record_limited(outcome);
     permit
 }
 
+/// Returns a peer's decision; `None` if it gives none, or did not answer lately.
+async fn permit_of_peer(
+    node: &Node,
+    endpoint: &EndpointId,
+    owner: &EntryName,
+    answer: impl Future<Output = Option<PermitReply>>,
+) -> Option<Permit> {
+    if node.silent_owners.lock().contains(owner, Instant::now()) {
+        return None;
+    }
+    let reply = node.answer_of(owner, answer).await;
+    if reply.is_none() {
+        tracing::info!(event = "limit_owner_silent", %endpoint, %owner);
+    }
+    reply.map(PermitReply::permit)
+}
+
 fn decided(permit: Permit) -> (&'static str, Permit) {
     match permit {
         Permit::Granted => ("permitted", permit),
--- a/entry/src/quota_owner.rs
+++ b/entry/src/quota_owner.rs
@@ -26,12 +26,6 @@
 /// Maximum refresh interval at which each entry decides by itself on what its peers report.
 const MAX_LOCAL_REFRESH: Duration = Duration::from_millis(600);
 
-/// Time within which an owner must have answered.
-const ASK_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Time for which an owner that did not answer is passed over.
-const AVOIDANCE_TIME: Duration = Duration::from_secs(1);
-
 /// Request of an entry to charge a customer's quota.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct QuotaRequest {
@@ -59,8 +53,8 @@
 /// Without an answer of the owner, this entry decides by what it knows itself.
 pub(crate) async fn charge(node: &Node, customer: &Customer, units: f64) -> Admission {
     if needs_owner(node, customer, units) {
-        let asked = ask_owner(node, customer, units);
-        if let Ok(Some(admission)) = tokio::time::timeout(ASK_TIMEOUT, asked).await {
+        let asked = ask_owner(node, customer, units).await;
+        if let Some(admission) = asked {
             return admission;
         }
     }
@@ -91,16 +85,8 @@
         totals: node.quotas.lock().totals(&customer.name),
         units,
     };
-    // Passed over until it has answered, also if this call is dropped at its timeout.
-    let until = Instant::now() + AVOIDANCE_TIME;
-    let previous = node.avoided_owners.lock().insert(owner.clone(), until);
-    let decision = node.peers.charge_quota(address, request).await?;
-    let mut avoided = node.avoided_owners.lock();
-    match previous {
-        Some(previous) => avoided.insert(owner, previous),
-        None => avoided.swap_remove(&owner),
-    };
-    drop(avoided);
+    let answer = node.peers.charge_quota(address, request);
+    let decision = node.answer_of(&owner, answer).await?;
     let Some(wait_ms) = decision.wait_ms else {
         node.quotas.lock().record_charge(&customer.name, units);
         return Some(Admission::Admitted);
@@ -108,14 +94,14 @@
     Some(Admission::OverQuota(Duration::from_millis(wait_ms)))
 }
 
-/// Returns the entry that decides for a customer, among the ready ones that are not passed over.
+/// Returns the entry that decides for a customer, among the ready ones that have not been silent
+/// lately.
 fn find_owner(node: &Node, customer: &CustomerName) -> Option<Owner> {
     let now = Instant::now();
-    let avoided = node.avoided_owners.lock();
-    let is_avoided = |name: &EntryName| avoided.get(name).is_some_and(|until| now < *until);
+    let silent_owners = node.silent_owners.lock();
     let members = node.members.lock();
     let ready = members.live(now).filter(|p| p.state.ready);
-    let peers = ready.filter(|p| !is_avoided(&p.state.name));
+    let peers = ready.filter(|p| !silent_owners.contains(&p.state.name, now));
     let peers = peers.map(|p| (&p.state.name, p.state.peer_address));
     let key = OwnedKey::new(customer.as_str());
     choose_owner(key, Some(&node.settings.name), peers)
--- a/entry/tests/test_peer_rpc.rs
+++ b/entry/tests/test_peer_rpc.rs
@@ -2,6 +2,7 @@
 
 mod testutils;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +13,18 @@
 use hawthornrack_entry::Usage;
 use hawthornrack_entry::UsageDelivery;
 use hawthornrack_entry::run_gossip;
+use hawthornrack_entry::serve;
 use hawthornrack_entry::serve_peers;
 use indexmap::IndexSet;
+use parking_lot::Mutex;
+use testutils::ScriptedClient;
+use testutils::ScriptedSend;
+use testutils::call;
 use testutils::config;
 use testutils::node;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// Number of peers that stay connected.
 const PEERS: usize = 400;
@@ -58,3 +67,52 @@
     let count = sequences.len();
     assert!((20..=60).contains(&count), "{count} states in 5 s");
 }
+
+/// Number of peers with which a customer's owner decides on its quota.
+const QUOTA_PEERS: u8 = 60;
+
+/// Starts a listener on all loopback addresses that never answers; returns its port and the addresses
+/// that received a request to charge a quota.
+async fn listen_silently() -> (u16, Arc<Mutex<Vec<IpAddr>>>) {
+    let listener = TcpListener::bind("0.0.0.0:0").await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    let received = Arc::clone(&asked);
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let received = Arc::clone(&received);
+            tokio::spawn(async move {
+                let owner = stream.local_addr().unwrap().ip();
+                let mut request = Vec::new();
+                while stream.read_buf(&mut request).await.is_ok_and(|n| n > 0) {
+                    if String::from_utf8_lossy(&request).contains("entry_charge") {
+                        received.lock().push(owner);
+                        request.clear();
+                    }
+                }
+            });
+        }
+    });
+    (port, asked)
+}
+
+// Guards against two entries that decide on one quota: while one request waited for the owner's answer,
+// the next one took the owner for silent and asked another entry.
+#[tokio::test]
+async fn test_peer_rpc_concurrent_charges_ask_the_same_owner() {
+    let (port, asked) = listen_silently().await;
+    let node = node(config(RouteKind::Idempotent), 1);
+    for number in 0..QUOTA_PEERS {
+        let mut state = node.own_state();
+        state.name = EntryName::from(format!("peer-{number}").as_str());
+        state.peer_address = SocketAddr::from(([127, 0, 0, number + 1], port));
+        node.members.lock().merge(state, Instant::now());
+    }
+    let client = ScriptedClient::new(vec![ScriptedSend::Respond(200); 2]);
+    let calls = ["1", "2"].map(|id| serve(&node, &client, call(id)));
+    futures_util::future::join_all(calls).await;
+    let asked = asked.lock();
+    assert_eq!(asked.len(), 2);
+    assert_eq!(asked[0], asked[1]);
+}
