attempt: a caller whose request was rejected comes back when an endpoint takes requests

What callers saw: 503 with Retry-After of 0.3 or 0.8 s from an endpoint that had just asked for no requests for seconds, so that they came back to be refused again.

The time until an endpoint of the service takes requests again, for a pause or a rate limit, is now the least that callers are told. The test failed before for one and two attempts. Changes of a limit in each response are logged five times a second at most.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -52,11 +52,12 @@
 /// Minimum time left until the deadline for a send to be attempted.
 const MIN_SEND_TIME: Duration = Duration::from_millis(20);
 
-/// Retry-After when no endpoint is left to try or [`MAX_TRIED_ENDPOINTS`] is reached.
+/// Minimum Retry-After when no endpoint is left to try, and Retry-After when
+/// [`MAX_TRIED_ENDPOINTS`] is reached.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// Minimum Retry-After when all endpoints are full, and Retry-After when an endpoint rejected the
-/// request and no further retry is allowed.
+/// Minimum Retry-After when all endpoints are full, and when an endpoint rejected the request and no
+/// further retry is allowed.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// An admitted request with its route, customer, priority and deadline.
@@ -181,8 +182,8 @@
                 }
                 Err(_) => {
                     self.log_unplaced(node, None);
-                    let after = Some(NO_ENDPOINT_RETRY_AFTER);
-                    return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
+                    let after = self.time_until_available(node).max(NO_ENDPOINT_RETRY_AFTER);
+                    return Err(self.final_refusal(RefusalKind::NoEndpoint, Some(after)));
                 }
             }
         }
@@ -424,8 +425,8 @@
                     self.sends -= 1;
                 }
                 if !self.take_retry(node) {
-                    let after = Some(OVERLOAD_RETRY_AFTER);
-                    return Err(self.final_refusal(RefusalKind::Rejected, after));
+                    let after = self.time_until_available(node).max(OVERLOAD_RETRY_AFTER);
+                    return Err(self.final_refusal(RefusalKind::Rejected, Some(after)));
                 }
             }
             SendFailure::MayHaveRun(_) => {
@@ -438,6 +439,16 @@
         Ok(())
     }
 
+    /// Returns the time until an endpoint of the service takes requests again; zero if one does or
+    /// none is known.
+    fn time_until_available(&self, node: &Node) -> Duration {
+        let now = Instant::now();
+        let endpoints = node.endpoints.lock();
+        let candidates = endpoints.candidates(&self.service, now);
+        let waits = candidates.map(|(_, e)| e.load.unavailable_left(now));
+        waits.min().unwrap_or_default()
+    }
+
     /// Returns the refusal of a request that shutdown ends; `after` applies if it was never sent.
     pub(crate) fn shutdown_refusal(&mut self, after: Duration) -> Refusal {
         self.may_have_run |= self.sends > 0;
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -185,6 +185,11 @@
         until.saturating_duration_since(now)
     }
 
+    /// Returns for how long the endpoint takes no requests, for a pause or for its rate limit.
+    pub fn unavailable_left(&self, now: Instant) -> Duration {
+        self.pause_left(now).max(self.hold_left(now))
+    }
+
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
         self.running.saturating_add(self.peers.running)
--- a/entry/src/endpoint_news.rs
+++ b/entry/src/endpoint_news.rs
@@ -21,6 +21,7 @@
 use crate::LimitReport;
 use crate::Node;
 use crate::RateLimit;
+use crate::log_limit;
 
 /// Number of peers that an entry tells.
 const FAN_OUT: usize = 8;
@@ -101,14 +102,16 @@
     change: LimitChange,
     source: NewsSource<'_>,
 ) {
-    tracing::info!(
-        event = "endpoint_limit",
-        %endpoint,
-        limit = change.limit.map(RateLimit::per_second),
-        previous = change.previous.map(RateLimit::per_second),
-        source = source.name(),
-        peer = source.peer(),
-    );
+    if log_limit::allows("endpoint_limit") {
+        tracing::info!(
+            event = "endpoint_limit",
+            %endpoint,
+            limit = change.limit.map(RateLimit::per_second),
+            previous = change.previous.map(RateLimit::per_second),
+            source = source.name(),
+            peer = source.peer(),
+        );
+    }
     if let Some(endpoint) = node.endpoints.lock().by_id_mut(endpoint) {
         endpoint.load.end_hold();
     }
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -139,7 +139,7 @@
             continue;
         }
         let hold = endpoint.load.hold_left(now);
-        let unavailable = endpoint.load.pause_left(now).max(hold);
+        let unavailable = endpoint.load.unavailable_left(now);
         let wait = expected_wait(endpoint, request, now).max(unavailable);
         if !unavailable.is_zero() || is_full(endpoint, request) || wait > request.max_wait {
             is_any_full |= unavailable.is_zero();
@@ -182,7 +182,7 @@
     table
         .candidates(request.service, now)
         .filter(|(_, e)| has_allowed_version(e, request) && !e.load.is_avoided(now))
-        .filter(|(_, e)| e.load.pause_left(now).is_zero() && e.load.hold_left(now).is_zero())
+        .filter(|(_, e)| e.load.unavailable_left(now).is_zero())
         .max_by_key(|(_, e)| rendezvous_hash(e))
         .map(|(key, _)| key)
 }
--- a/entry/tests/test_limits_serve.rs
+++ b/entry/tests/test_limits_serve.rs
@@ -148,3 +148,23 @@
         assert_eq!(send(&node, &client).await, Ok(200));
     }
 }
+
+// Guards against callers that come back at once to an endpoint that wants no requests for seconds,
+// whether or not another try was allowed.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_limits_serve_rejected_caller_comes_back_after_the_pause(
+    #[values(1, 2)] attempts: u32,
+) {
+    let mut config = config(RouteKind::Once);
+    config.routes["h"][0].attempts = attempts;
+    let node = node(config, 1);
+    let pause = Duration::from_secs(2);
+    let rejection = rejected(EndpointNotice {
+        retry_after: Some(pause),
+        ..EndpointNotice::default()
+    });
+    let client = ScriptedClient::new([rejection]);
+    let refusal = send(&node, &client).await.unwrap_err();
+    assert_eq!(refusal.retry_after, Some(pause));
+}
