--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -1,4 +1,4 @@
-//! Sends one request: waits for an endpoint, sends, and retries or refuses by the outcome.
+//! Sends one request: sends it to an endpoint, and retries or refuses by the outcome.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,6 @@
 
 use crate::Branch;
 use crate::Call;
-use crate::Choice;
 use crate::Config;
 use crate::CustomerName;
 use crate::Dispatch;
@@ -19,7 +18,6 @@
 use crate::Fingerprint;
 use crate::Interruption;
 use crate::Node;
-use crate::RateLimit;
 use crate::Refusal;
 use crate::RefusalKind;
 use crate::Route;
@@ -27,7 +25,6 @@
 use crate::SendFailure;
 use crate::ServiceName;
 use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
-use crate::log_limit;
 use crate::prefill_time;
 use crate::reservation::Reservation;
 use crate::send_outcome::notice_of;
@@ -35,9 +32,6 @@
 use crate::send_outcome::record_send_failure;
 use crate::shutdown::time_left_in_shutdown;
 
-/// A request waits for a free slot for at most its objective divided by this.
-const MAX_WAIT_DIVISOR: u32 = 8;
-
 /// Multiple of the objective after which a retryable request is sent to another endpoint.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 
@@ -50,15 +44,15 @@
 const MAX_TRIED_ENDPOINTS: usize = 5;
 
 /// Minimum time left until the deadline for a send to be attempted.
-const MIN_SEND_TIME: Duration = Duration::from_millis(20);
+pub(crate) const MIN_SEND_TIME: Duration = Duration::from_millis(20);
 
 /// Minimum Retry-After when no endpoint is left to try, and Retry-After when
 /// [`MAX_TRIED_ENDPOINTS`] is reached.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
+pub(crate) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 
 /// Minimum Retry-After when all endpoints are full, and when an endpoint rejected the request and no
 /// further retry is allowed.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// An admitted request with its route, customer, priority and deadline.
 #[derive(Clone, Debug)]
@@ -140,110 +134,6 @@
         }
     }
 
-    /// Reserves a slot at the best endpoint, with a permit if the endpoint has stated a rate limit.
-    ///
-    /// The first send waits briefly while all endpoints are full; a retry does not wait.
-    async fn acquire_reservation(&mut self, node: &Arc<Node>) -> Result<Reservation, Refusal> {
-        let wait_deadline = Instant::now() + self.request.route.objective / MAX_WAIT_DIVISOR;
-        loop {
-            let now = Instant::now();
-            if self.request.deadline.saturating_duration_since(now) < MIN_SEND_TIME {
-                return Err(self.final_refusal(RefusalKind::Expired, None));
-            }
-            let request = &self.request;
-            if let Some(suspicion) = node.crash_suspicion(request.fingerprint, &request.call) {
-                let after = Some(suspicion.retry_after());
-                return Err(self.final_refusal(RefusalKind::Crashing, after));
-            }
-            let freed = node.slot_freed.notified();
-            match self.choose_by_rollout(node, now) {
-                Ok(placement) => {
-                    if let Some(reservation) = self.reserve_with_permit(node, &placement).await {
-                        self.log_placement(&reservation);
-                        return Ok(reservation);
-                    }
-                }
-                Err(Choice::Unavailable { wait, limited }) => {
-                    // Nothing but time helps: waits only if that is soon enough.
-                    if self.sends > 0 || now + wait > wait_deadline {
-                        return Err(self.unavailable_refusal(node, wait, limited));
-                    }
-                    tokio::time::sleep(wait).await;
-                }
-                Err(Choice::Full(wait)) if now >= wait_deadline || self.sends > 0 => {
-                    self.log_unplaced(node, Some(wait));
-                    let after = wait.max(OVERLOAD_RETRY_AFTER);
-                    return Err(self.final_refusal(RefusalKind::Overloaded, Some(after)));
-                }
-                Err(Choice::Full(_)) => {
-                    // Tries again when a slot is freed; refuses in the next pass if none was freed
-                    // in time.
-                    let _ = tokio::time::timeout_at(wait_deadline, freed).await;
-                }
-                Err(_) => {
-                    self.log_unplaced(node, None);
-                    let after = self.time_until_available(node).max(NO_ENDPOINT_RETRY_AFTER);
-                    return Err(self.final_refusal(RefusalKind::NoEndpoint, Some(after)));
-                }
-            }
-        }
-    }
-
-    /// Returns the refusal of a request that no endpoint takes for the time `wait`, for a rate limit
-    /// if `limited`.
-    fn unavailable_refusal(&self, node: &Node, wait: Duration, limited: bool) -> Refusal {
-        self.log_unplaced(node, Some(wait));
-        if limited {
-            self.final_refusal(RefusalKind::Limited, Some(wait))
-        } else {
-            let after = wait.max(OVERLOAD_RETRY_AFTER);
-            self.final_refusal(RefusalKind::Overloaded, Some(after))
-        }
-    }
-
-    /// Logs the chosen endpoint; first sends are rate-limited, retries are always logged.
-    fn log_placement(&self, reservation: &Reservation) {
-        if self.sends == 0 && !log_limit::allows("placed") {
-            return;
-        }
-        tracing::info!(
-            event = "placed",
-            id = self.request.call.id,
-            service = %self.service,
-            endpoint = %reservation.endpoint,
-            side = ?reservation.side,
-            prefill = reservation.occupancy.prefill,
-            limit = reservation.limit().map(RateLimit::per_second),
-            sends = self.sends,
-            last_event = self.last_event,
-            config = self.request.config.version,
-        );
-    }
-
-    /// Logs that no endpoint was chosen, with counts of the candidates; `wait` is the shortest
-    /// expected wait for a slot.
-    fn log_unplaced(&self, node: &Node, wait: Option<Duration>) {
-        let now = Instant::now();
-        let endpoints = node.endpoints.lock();
-        let candidates = || endpoints.candidates(&self.service, now);
-        let running = candidates().map(|(_, e)| u64::from(e.load.running()));
-        let slots = candidates().map(|(_, e)| u64::from(e.record.slots));
-        tracing::info!(
-            event = "unplaced",
-            id = self.request.call.id,
-            service = %self.service,
-            endpoints = candidates().count(),
-            avoided = candidates().filter(|(_, e)| e.load.is_avoided(now)).count(),
-            held = candidates().filter(|(_, e)| !e.load.hold_left(now).is_zero()).count(),
-            running = running.sum::<u64>(),
-            slots = slots.sum::<u64>(),
-            sends = self.sends,
-            wait_ms = wait.map(crate::millis),
-            left_ms = crate::millis(self.request.deadline.saturating_duration_since(now)),
-            config = self.request.config.version,
-        );
-    }
-
     async fn send<E: EndpointClient>(
         &mut self,
         node: &Arc<Node>,
@@ -439,16 +329,6 @@
         Ok(())
     }
 
-    /// Returns the time until an endpoint of the service takes requests again; zero if one does or
-    /// none is known.
-    fn time_until_available(&self, node: &Node) -> Duration {
-        let now = Instant::now();
-        let endpoints = node.endpoints.lock();
-        let candidates = endpoints.candidates(&self.service, now);
-        let waits = candidates.map(|(_, e)| e.load.unavailable_left(now));
-        waits.min().unwrap_or_default()
-    }
-
     /// Returns the refusal of a request that shutdown ends; `after` applies if it was never sent.
     pub(crate) fn shutdown_refusal(&mut self, after: Duration) -> Refusal {
         self.may_have_run |= self.sends > 0;
@@ -456,7 +336,7 @@
     }
 
     /// Returns `kind`, or a refusal that does not rule out execution if the request may have run.
-    fn final_refusal(&self, kind: RefusalKind, after: Option<Duration>) -> Refusal {
+    pub(crate) fn final_refusal(&self, kind: RefusalKind, after: Option<Duration>) -> Refusal {
         if !self.may_have_run {
             return Refusal {
                 kind,
