connection: all entries together leave an endpoint room for requests

The class of the exceeded limit: a number that binds all entries, which each of them read and none divided. An endpoint accepts a number of connections from all entries and resets those beyond it; each entry kept up to 16 idle ones per endpoint, 1408 from 88 entries where 590 are accepted.

Three quarters of the number may be idle, divided between the entries, at least one each and 16 at most; with 8 entries and 370 connections nothing changes.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
 use crate::Interruption;
+use crate::MAX_IDLE_PER_SERVER;
 use crate::Node;
 use crate::Refusal;
 use crate::RefusalKind;
@@ -25,6 +26,7 @@
 use crate::SendFailure;
 use crate::ServiceName;
 use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
+use crate::connection::idle_connection_share;
 use crate::prefill_time;
 use crate::reservation::Reservation;
 use crate::send_outcome::notice_of;
@@ -159,6 +161,7 @@
             } else {
                 MAX_NON_RETRYABLE_IDLE_TIME
             },
+            max_idle_connections: self.max_idle_connections(node),
             stream: request.route.kind.is_stream(),
         };
         let response = tokio::time::timeout(limit, client.send(dispatch)).await;
@@ -170,6 +173,17 @@
         response
     }
 
+    /// Returns how many idle connections this entry may keep to an endpoint of the service.
+    fn max_idle_connections(&self, node: &Node) -> usize {
+        let services = &self.request.config.services;
+        let stated = services.get(&self.service).map(|s| s.max_connections);
+        // A service without a number states no limit.
+        let stated = stated.filter(|number| *number > 0);
+        stated.map_or(MAX_IDLE_PER_SERVER, |number| {
+            idle_connection_share(number, node.entry_count())
+        })
+    }
+
     /// Returns the time after which this send is abandoned for another endpoint; unlimited for
     /// the last attempt.
     ///
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -43,7 +43,10 @@
 pub(crate) const MAX_NON_RETRYABLE_IDLE_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of idle connections kept per server.
-const MAX_IDLE_PER_SERVER: usize = 16;
+pub const MAX_IDLE_PER_SERVER: usize = 16;
+
+/// Fraction of an endpoint's connections that may be idle; the rest is for requests in progress.
+const MAX_IDLE_FRACTION: f64 = 0.75;
 
 /// Number of rejected requests after which a connection is closed.
 const MAX_REJECTIONS: usize = 16;
@@ -165,6 +168,13 @@
     }
 }
 
+/// Returns how many idle connections each of `entries` entries may keep to an endpoint that accepts
+/// `max_connections` from all of them together; at least one.
+pub(crate) fn idle_connection_share(max_connections: u32, entries: usize) -> usize {
+    let share = f64::from(max_connections) * MAX_IDLE_FRACTION / entries.max(1) as f64;
+    (share as usize).clamp(1, MAX_IDLE_PER_SERVER)
+}
+
 /// Returns how long a connection may be idle, given the idle timeout that its server stated.
 pub fn client_idle_timeout(stated: Option<Duration>) -> Duration {
     stated.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
@@ -204,9 +214,15 @@
     }
 
     /// Returns a connection to the pool for at most `idle_timeout`; its last response must have
-    /// been read completely. The connection is closed if the pool of the server is full or after
-    /// [`MAX_REJECTIONS`].
-    pub fn put_back(&self, server: SocketAddr, mut connection: Connection, idle_timeout: Duration) {
+    /// been read completely. The connection is closed if `max_idle` or [`MAX_IDLE_PER_SERVER`] others
+    /// to the server are idle, or after [`MAX_REJECTIONS`].
+    pub fn put_back(
+        &self,
+        server: SocketAddr,
+        mut connection: Connection,
+        idle_timeout: Duration,
+        max_idle: usize,
+    ) {
         if connection.rejected.len() >= MAX_REJECTIONS {
             return;
         }
@@ -215,7 +231,7 @@
         let mut idle = self.idle.lock();
         let connections = idle.entry(server).or_default();
         connections.retain(|c| c.idle_since.elapsed() < c.idle_timeout && !c.sender.is_closed());
-        if connections.len() < MAX_IDLE_PER_SERVER {
+        if connections.len() < max_idle.min(MAX_IDLE_PER_SERVER) {
             connections.push(connection);
         }
     }
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -37,6 +37,8 @@
     pub last_event: Option<u64>,
     /// Maximum idle time of a connection to reuse.
     pub max_idle: Duration,
+    /// Maximum number of idle connections to keep to the endpoint.
+    pub max_idle_connections: usize,
     /// Whether a successful response is streamed instead of buffered.
     pub stream: bool,
 }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -87,6 +87,7 @@
 pub use connection::Connection;
 pub use connection::ConnectionPool;
 pub use connection::ExchangeError;
+pub use connection::MAX_IDLE_PER_SERVER;
 pub use connection::client_idle_timeout;
 pub use connection::interruption_of;
 pub use crash::CrashTracker;
