--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -215,7 +215,7 @@
 
     /// Returns a connection to the pool for at most `idle_timeout`; its last response must have
     /// been read completely. The connection is closed if `max_idle` or [`MAX_IDLE_PER_SERVER`] others
-    /// to the server are idle, or after [`MAX_REJECTIONS`].
+    /// to the server are idle, or after 16 rejections.
     pub fn put_back(
         &self,
         server: SocketAddr,
