gossip: an entry that has just started is told of all rate limits at once

Found by the simulation of 300 entries of which a tenth starts in addition: 12 requests in 4 s at a limit of 1 a second, 11 are allowed. Trace: eight of the 22 requests from the first start on came from entries that had just started and knew of no limit. The state of a peer names the limits that the peer has heard of itself, and is up to 4 s old at this size.

The first reply that an entry gets holds all limits that the replying one knows (test_limits_are_kept_while_entries_come_and_go, 300 entries, limit 1, Start, failed before).

Besides, a suspension of the VM is told from the two clocks' difference: the boot clock alone made gaps in simulations on a busy machine.

--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -7,10 +7,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -182,6 +186,27 @@
     })
 }
 
+/// Returns the idle timeout of a connection after a response with these headers; `None` if the server
+/// closes it.
+pub fn idle_timeout_of(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|v: &HeaderValue| v.to_str().ok())
+    };
+    let connection = text(CONNECTION).unwrap_or_default();
+    if connection.to_ascii_lowercase().contains("close") {
+        return None;
+    }
+    let stated = text(HeaderName::from_static("keep-alive")).and_then(|text| {
+        let mut parts = text
+            .split(',')
+            .filter_map(|part| part.trim().strip_prefix("timeout="));
+        parts.find_map(|seconds| seconds.parse().ok())
+    });
+    Some(client_idle_timeout(stated.map(Duration::from_secs)))
+}
+
 /// Sets the TCP options that detect an unresponsive peer, and disables Nagle's algorithm.
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/entry/src/contact.rs
+++ b/entry/src/contact.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-use crate::BootTime;
+use crate::suspended_time;
 
 /// Time without contact after which peers may take an entry for gone.
 const MAX_GAP: Duration = Duration::from_secs(2);
@@ -18,8 +18,8 @@
     /// Start of the process, or end of the last gap.
     since: Instant,
     last: Instant,
-    /// Time of the last contact on a clock that also runs while the VM is suspended.
-    last_boot: BootTime,
+    /// Suspensions of the VM up to the last contact.
+    last_suspended: Duration,
 }
 
 impl Contact {
@@ -27,20 +27,19 @@
         Self {
             since: now,
             last: now,
-            last_boot: BootTime::now(),
+            last_suspended: suspended_time(),
         }
     }
 
     /// Records an exchange with a peer.
     pub(crate) fn record(&mut self, now: Instant) {
-        let boot = BootTime::now();
-        let suspended_ms = boot.millis().saturating_sub(self.last_boot.millis());
+        let suspended = suspended_time();
         let gap = now.saturating_duration_since(self.last);
-        if gap.max(Duration::from_millis(suspended_ms)) > MAX_GAP {
+        if gap + suspended.saturating_sub(self.last_suspended) > MAX_GAP {
             self.since = now;
         }
         self.last = now;
-        self.last_boot = boot;
+        self.last_suspended = suspended;
     }
 
     /// Returns the time since the process started or the last gap ended.
--- a/entry/src/endpoints.rs
+++ b/entry/src/endpoints.rs
@@ -29,6 +29,10 @@
 /// arrives first.
 const NEW_VERSION_DELAY: Duration = Duration::from_millis(1500);
 
+/// Largest start of an incarnation or sequence number that counts: the largest whole number that all
+/// writers of JSON represent exactly.
+pub const MAX_REVISION: u64 = 1 << 53;
+
 /// Maximum number of removed endpoints whose last revision is kept to reject stale records.
 const MAX_TOMBSTONES: usize = 1024;
 
@@ -71,6 +75,14 @@
 }
 
 impl EndpointRecord {
+    /// Returns whether an endpoint can have written the record.
+    ///
+    /// A revision beyond [`MAX_REVISION`] would hide all later records of the endpoint.
+    pub fn is_plausible(&self) -> bool {
+        let has_address = self.address.port() != 0 && !self.address.ip().is_unspecified();
+        has_address && self.sequence.max(self.incarnation) <= MAX_REVISION
+    }
+
     /// Returns whether another record of the endpoint says the same at another time.
     pub(crate) fn differs_in_sequence_only(&self, other: &Self) -> bool {
         let same = Self {
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -75,6 +75,9 @@
     pub config: Option<Config>,
     /// Endpoint list, if the requesting entry has none.
     pub endpoints: Option<Vec<EndpointRecord>>,
+    /// Rate limits of endpoints, if the requesting entry knows no peer and may have just started.
+    #[serde(default)]
+    pub limits: Vec<LimitReport>,
     /// Wall-clock time of the replying entry, in milliseconds since the Unix epoch.
     pub wall_ms: u64,
 }
@@ -97,10 +100,16 @@
     });
     merge_peer_state(node, &own, now);
     apply_membership(node);
+    let limits = if digest.is_empty() {
+        node.limits.lock().limited(now)
+    } else {
+        Vec::new()
+    };
     GossipReply {
         states,
         config: config.map(|c| Config::clone(&c)),
         endpoints: (!has_endpoints).then(|| serving_endpoints(node)).flatten(),
+        limits,
         wall_ms: wall_millis(),
     }
 }
@@ -124,6 +133,7 @@
             endpoints.replace(records, now);
         }
     }
+    apply_limit_reports(node, &reply.limits, None);
     for state in reply.states {
         merge_peer_state(node, &state.state, state.updated_at(now));
     }
--- a/entry/src/rate_limit.rs
+++ b/entry/src/rate_limit.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use hyper::header::HeaderValue;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use serde::Deserialize;
@@ -42,6 +43,14 @@
         (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
     }
 
+    /// Parses a decimal number of requests per second, without sign or exponent.
+    fn parse(text: &str) -> Option<Self> {
+        let text = text.trim();
+        let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        let rate = is_decimal.then(|| text.parse().ok()).flatten();
+        rate.and_then(Self::new)
+    }
+
     /// Returns the requests per second.
     pub const fn per_second(self) -> f64 {
         self.0
@@ -73,6 +82,21 @@
     Malformed,
 }
 
+impl LimitNotice {
+    /// Parses the header values of a response; the lowest applies if there are several.
+    pub fn parse<'a>(values: impl IntoIterator<Item = &'a HeaderValue>) -> Self {
+        let mut lowest: Option<RateLimit> = None;
+        for value in values {
+            let Some(limit) = value.to_str().ok().and_then(RateLimit::parse) else {
+                return Self::Malformed;
+            };
+            let is_lowest = lowest.is_none_or(|lowest| limit < lowest);
+            lowest = if is_lowest { Some(limit) } else { lowest };
+        }
+        lowest.map_or(Self::Unlimited, Self::Limited)
+    }
+}
+
 /// What an entry tells its peers of an endpoint's rate limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LimitReport {
@@ -223,6 +247,12 @@
         own.into_iter().map(|s| s.report(now)).collect()
     }
 
+    /// Returns all limits that are in force, for an entry that knows none.
+    pub fn limited(&self, now: Instant) -> Vec<LimitReport> {
+        let limited = self.statements.values().filter(|s| s.limit.is_some());
+        limited.map(|s| s.report(now)).collect()
+    }
+
     /// Takes the changes that are to be announced to peers at `now`.
     pub fn take_announcements(&mut self, now: Instant) -> Vec<LimitReport> {
         let mut due = Vec::new();
--- a/entry/tests/test_malformed_peer.rs
+++ b/entry/tests/test_malformed_peer.rs
@@ -74,6 +74,7 @@
                     states: vec![RelayedState { state, silent_ms }],
                     config: None,
                     endpoints: None,
+                    limits: Vec::new(),
                     wall_ms: u64::MAX,
                 },
             );
