reach: whether endpoints are heard is logged and counted

What on-call engineers saw of entries that were cut off from all endpoints was one line for each failed send. No line and no figure told that the entry hears from no endpoint, since when, and when it does again.

Two lines (contact_doubted, contact_heard) and a counter; no decision depends on them.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -29,8 +29,10 @@
 use crate::connection::idle_connection_share;
 use crate::prefill_time;
 use crate::reservation::Reservation;
+use crate::send_outcome::log_contact_change;
 use crate::send_outcome::notice_of;
 use crate::send_outcome::outcome_name;
+use crate::send_outcome::record_reach;
 use crate::send_outcome::record_send_failure;
 use crate::shutdown::time_left_in_shutdown;
 
@@ -164,12 +166,15 @@
             max_idle_connections: self.max_idle_connections(node),
             stream: request.route.kind.is_stream(),
         };
+        let change = node.reach.lock().record_send(&reservation.endpoint, now);
+        log_contact_change(node, change);
         let response = tokio::time::timeout(limit, client.send(dispatch)).await;
         let response = response.unwrap_or_else(|_elapsed| {
             let reason = format!("no response within {} ms", limit.as_millis());
             Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
         });
         node.metrics.record_send(outcome_name(&response));
+        record_reach(node, &reservation.endpoint, &response);
         response
     }
 
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -18,6 +18,7 @@
     sends: Counter<u64>,
     shutdown: Counter<u64>,
     limited: Counter<u64>,
+    contact: Counter<u64>,
 }
 
 impl Metrics {
@@ -47,9 +48,18 @@
                     "Requests for endpoints that have stated a rate limit, by outcome",
                 )
                 .build(),
+            contact: meter
+                .u64_counter("hawthornrack_endpoint_contact")
+                .with_description("Changes of the contact with endpoints, by kind")
+                .build(),
         }
     }
 
+    /// Counts a change of the contact with endpoints.
+    pub fn record_contact(&self, change: &'static str) {
+        self.contact.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Counts a request by outcome and records its latency.
     pub fn record_request(&self, outcome: &'static str, latency: Duration) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -36,6 +36,7 @@
 use crate::PeerClient;
 use crate::PermitLedger;
 use crate::QuotaLedger;
+use crate::Reach;
 use crate::RetryBounds;
 use crate::RetryBudget;
 use crate::Rollout;
@@ -98,6 +99,8 @@
     pub limits: Mutex<LimitTable>,
     /// Permits for endpoints whose limits this entry owns.
     pub permits: Mutex<PermitLedger>,
+    /// Whether this entry reaches endpoints.
+    pub reach: Mutex<Reach>,
     /// Retry budget by service.
     pub retries: Mutex<RetryBudget>,
     /// Rollouts of versions.
@@ -158,6 +161,7 @@
             quotas: Mutex::new(QuotaLedger::new(settings.first_start)),
             limits: Mutex::default(),
             permits: Mutex::default(),
+            reach: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
             crashes: Mutex::default(),
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::SendFailure;
 use crate::attempt::Attempts;
 use crate::reservation::Reservation;
+use crate::send_outcome::log_contact_change;
 use crate::sse::has_event;
 
 /// Multiple of the route's maximum pause after which a resumable stream is resumed elsewhere.
@@ -193,6 +194,8 @@
             let until = (since + limit).min(self.attempts.request.deadline);
             match read_events(source, &mut self.splitter, until).await {
                 ReadOutcome::Events(events) => {
+                    let change = self.node.reach.lock().record_contact(Instant::now());
+                    log_contact_change(&self.node, change);
                     if let Some(id) = self.splitter.last_id() {
                         self.attempts.last_event = Some(id);
                     }
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -3,6 +3,8 @@
 use tokio::time::Instant;
 
 use crate::Call;
+use crate::ContactChange;
+use crate::EndpointId;
 use crate::EndpointNotice;
 use crate::EndpointResponse;
 use crate::Interruption;
@@ -103,3 +105,38 @@
         Err(SendFailure::MayHaveRun(_)) => "may_have_run",
     }
 }
+
+/// Records what the outcome of a send says of the contact with endpoints.
+pub(crate) fn record_reach<B>(
+    node: &Node,
+    endpoint: &EndpointId,
+    sent: &Result<EndpointResponse<B>, SendFailure>,
+) {
+    let now = Instant::now();
+    let mut reach = node.reach.lock();
+    let change = match sent {
+        Ok(_)
+        | Err(
+            SendFailure::Rejected { .. } | SendFailure::MayHaveRun(Interruption::InvalidResponse(_)),
+        ) => reach.record_contact(now),
+        Err(SendFailure::NotWritten(_)) => reach.record_unconnected(endpoint, now),
+        Err(SendFailure::MayHaveRun(_)) => None,
+    };
+    drop(reach);
+    log_contact_change(node, change);
+}
+
+/// Logs and counts a change of the contact with endpoints.
+pub(crate) fn log_contact_change(node: &Node, change: Option<ContactChange>) {
+    match change {
+        None => {}
+        Some(ContactChange::Doubted) => {
+            node.metrics.record_contact("doubted");
+            tracing::info!(event = "contact_doubted");
+        }
+        Some(ContactChange::Heard(gap)) => {
+            node.metrics.record_contact("heard");
+            tracing::info!(event = "contact_heard", gap_ms = crate::millis(gap));
+        }
+    }
+}
