--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -117,7 +117,8 @@
     let change = match sent {
         Ok(_)
         | Err(
-            SendFailure::Rejected { .. } | SendFailure::MayHaveRun(Interruption::InvalidResponse(_)),
+            SendFailure::Rejected { .. }
+            | SendFailure::MayHaveRun(Interruption::InvalidResponse(_)),
         ) => reach.record_contact(now),
         Err(SendFailure::NotWritten(_)) => reach.record_unconnected(endpoint, now),
         Err(SendFailure::MayHaveRun(_)) => None,
