caller_server: connections of callers are served in entry/

The accept loop, the end of connections during shutdown and the bodies of responses know nothing of the platform.

--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod baseline;
 mod call;
+mod caller_server;
 mod clock;
 mod config;
 mod connection;
@@ -71,6 +72,9 @@
 pub use call::Call;
 pub use call::Prompt;
 pub use call::PromptPart;
+pub use caller_server::CallerBody;
+pub use caller_server::build_http_response;
+pub use caller_server::serve_connections;
 pub use clock::BootTime;
 pub use clock::millis;
 pub use clock::suspended_time;
