forward: an entry that is cut off from the endpoints serves its callers through peers

Cause: an entry had no way to an endpoint but its own links, and drew no conclusion from their loss. Each request tried up to five endpoints, 300 ms each, for as long as the cut lasted; peers that reached the endpoints were not asked. Class: one VM's own failure is taken for a failure of what it talks to, and nothing looks for another way.

Evidence: 450 failed connections in 12 s at the two entries, refusals after 1.5 s from the first to the last, and no line on it at any entry.

What changes: several endpoints that are silent or cannot be connected to at the same time make an entry probe three of them with new connections; if none is established it counts as cut off until one is (four probes a second). While that lasts, and for a request that two endpoints could not be connected for, it forwards requests to random peers that reach endpoints. A peer serves them as its own, so that pauses, rate limits, drains and the retry budget hold as they do for its callers; admission, quota and usage stay with the entry that the caller asked. Streams that break go on through a peer. If no peer takes a request, it is refused at once. Peers learn of the cut by gossip at once, and the directory leaves out cut off entries as long as most are not. What fails while an entry is cut off counts neither against versions nor as a crash.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::EndpointClient;
 use crate::EndpointKey;
 use crate::EndpointResponse;
+use crate::EntryName;
 use crate::FULL_SHARE_PERMILLE;
 use crate::Fingerprint;
 use crate::Interruption;
@@ -27,9 +28,12 @@
 use crate::ServiceName;
 use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
 use crate::connection::idle_connection_share;
+use crate::forward::SentBody;
+use crate::forward::Way;
 use crate::prefill_time;
+use crate::reach_probe::apply_reach_change;
+use crate::reach_probe::probe_if_doubtful;
 use crate::reservation::Reservation;
-use crate::send_outcome::log_contact_change;
 use crate::send_outcome::notice_of;
 use crate::send_outcome::outcome_name;
 use crate::send_outcome::record_reach;
@@ -68,14 +72,23 @@
     pub(crate) priority: u8,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) deadline: Instant,
+    /// Whether a peer has admitted, charged and forwarded the request.
+    pub(crate) is_forwarded: bool,
 }
 
+/// Response of an endpoint, received from it or through a peer.
+pub(crate) type SentResponse<E> = EndpointResponse<SentBody<<E as EndpointClient>::Body>>;
+
 /// State of one request across its sends.
 #[derive(Debug)]
 pub(crate) struct Attempts {
     pub(crate) request: AdmittedRequest,
     pub(crate) service: ServiceName,
     pub(crate) tried: Vec<EndpointKey>,
+    /// Number of endpoints that the request could not be written to.
+    pub(crate) unreached: usize,
+    /// Peers through which the request was sent.
+    pub(crate) tried_peers: Vec<EntryName>,
     pub(crate) sends: u32,
     /// Random position in `0..FULL_SHARE_PERMILLE` that decides whether the request goes to a new
     /// version during a rollout.
@@ -92,6 +105,8 @@
             service: choose_branch(&request.route.branches),
             request,
             tried: Vec::new(),
+            unreached: 0,
+            tried_peers: Vec::new(),
             sends: 0,
             split_point: rand::rng().random_range(0..FULL_SHARE_PERMILLE),
             may_have_run: false,
@@ -107,7 +122,25 @@
         &self.service
     }
 
-    /// Sends the request until an endpoint responds or no retry is allowed.
+    /// Continues the attempts that a peer has begun.
+    pub(crate) fn resume(request: AdmittedRequest, service: &ServiceName, sends: u32) -> Self {
+        let mut attempts = Self::new(request);
+        let branches = &attempts.request.route.branches;
+        if branches.iter().any(|b| b.service == *service) {
+            attempts.service = service.clone();
+        }
+        attempts.sends = sends;
+        attempts
+    }
+
+    pub(crate) const fn is_forwarded(&self) -> bool {
+        self.request.is_forwarded
+    }
+
+    /// Sends the request until an endpoint responds or no retry is allowed; through a peer while this
+    /// entry does not reach the endpoints.
+    ///
+    /// The reservation is `None` if a peer has passed on the response.
     ///
     /// # Errors
     ///
@@ -115,9 +148,15 @@
     pub(crate) async fn run<E: EndpointClient>(
         &mut self,
         node: &Arc<Node>,
-        client: &E,
-    ) -> Result<(EndpointResponse<E::Body>, Reservation), Refusal> {
+        client: &Arc<E>,
+    ) -> Result<(SentResponse<E>, Option<Reservation>), Refusal> {
         loop {
+            if let Way::Through(peer) = self.choose_way(node)? {
+                if let Some(response) = self.forward(node, peer).await? {
+                    return Ok((response, None));
+                }
+                continue;
+            }
             let reservation = self.acquire_reservation(node).await?;
             let sent = self.send(node, client, &reservation).await;
             if let Some(notice) = notice_of(&sent) {
@@ -128,7 +167,10 @@
                     reservation.record_failed_response();
                     self.may_have_run = true;
                 }
-                Ok(response) => return Ok((response, reservation)),
+                Ok(response) => {
+                    let response = response.map_body(SentBody::Direct);
+                    return Ok((response, Some(reservation)));
+                }
                 Err(failure) => {
                     record_send_failure(node, &self.request, self.sends, &reservation, &failure);
                     drop(reservation);
@@ -141,7 +183,7 @@
     async fn send<E: EndpointClient>(
         &mut self,
         node: &Arc<Node>,
-        client: &E,
+        client: &Arc<E>,
         reservation: &Reservation,
     ) -> Result<EndpointResponse<E::Body>, SendFailure> {
         let now = Instant::now();
@@ -167,7 +209,8 @@
             stream: request.route.kind.is_stream(),
         };
         let change = node.reach.lock().record_send(&reservation.endpoint, now);
-        log_contact_change(node, change);
+        apply_reach_change(node, change);
+        probe_if_doubtful(node, client);
         let response = tokio::time::timeout(limit, client.send(dispatch)).await;
         let response = response.unwrap_or_else(|_elapsed| {
             let reason = format!("no response within {} ms", limit.as_millis());
@@ -175,6 +218,7 @@
         });
         node.metrics.record_send(outcome_name(&response));
         record_reach(node, &reservation.endpoint, &response);
+        probe_if_doubtful(node, client);
         response
     }
 
@@ -322,6 +366,7 @@
                 // No endpoint received the request, so this counts neither as an attempt nor as
                 // a retry.
                 self.sends -= 1;
+                self.unreached += 1;
                 if self.tried.len() >= MAX_TRIED_ENDPOINTS {
                     let after = Some(NO_ENDPOINT_RETRY_AFTER);
                     return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
--- a/entry/src/call.rs
+++ b/entry/src/call.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::CustomerName;
@@ -13,7 +15,7 @@
 use crate::Route;
 
 /// A part of a prompt that several requests may have in common, which allows cache reuse.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PromptPart {
     /// Id; equal ids mean equal content.
     pub id: PartId,
@@ -22,7 +24,7 @@
 }
 
 /// Prompt sizes that a request states.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Prompt {
     /// Parts in prompt order; the last belongs to the session.
     pub parts: Vec<PromptPart>,
--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -112,6 +112,24 @@
     pub notice: EndpointNotice,
 }
 
+impl<B> EndpointResponse<B> {
+    /// Converts the body of a streamed response.
+    pub(crate) fn map_body<C>(self, convert: impl FnOnce(B) -> C) -> EndpointResponse<C> {
+        let body = match self.body {
+            ResponseBody::Whole(body) => ResponseBody::Whole(body),
+            ResponseBody::Stream(body) => ResponseBody::Stream(convert(body)),
+        };
+        EndpointResponse {
+            status: self.status,
+            headers: self.headers,
+            body,
+            states_end: self.states_end,
+            closing: self.closing,
+            notice: self.notice,
+        }
+    }
+}
+
 /// Body of a response.
 #[derive(Debug)]
 pub enum ResponseBody<B> {
@@ -151,4 +169,7 @@
         &self,
         dispatch: Dispatch<'_>,
     ) -> impl Future<Output = Result<EndpointResponse<Self::Body>, SendFailure>> + Send;
+
+    /// Returns whether a new connection to an endpoint can be established.
+    fn can_connect(&self, address: SocketAddr) -> impl Future<Output = bool> + Send;
 }
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -152,6 +152,12 @@
         self.avoid_until = Some(now + (INITIAL_AVOIDANCE_TIME * factor).min(MAX_AVOIDANCE_TIME));
     }
 
+    /// Ends what [`EndpointLoad::record_unavailable`] has recorded, as the endpoint was not the cause.
+    pub fn end_avoidance(&mut self) {
+        self.unavailable_count = 0;
+        self.avoid_until = None;
+    }
+
     /// Returns whether requests avoid the endpoint because it was recently unavailable.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
--- a/entry/src/entry_state.rs
+++ b/entry/src/entry_state.rs
@@ -51,7 +51,9 @@
         let mut cached_state = self.cached_state.lock();
         match &*cached_state {
             Some((at, state))
-                if now.duration_since(*at) < interval && state.ready == self.is_ready() =>
+                if now.duration_since(*at) < interval
+                    && state.ready == self.is_ready()
+                    && state.reaches_endpoints == self.reaches_endpoints() =>
             {
                 let mut state = state.clone();
                 let kept = now.duration_since(*at);
@@ -103,8 +105,10 @@
             },
             peer_address: settings.peer_address,
             front_address: settings.front_address,
+            forward_address: settings.forward_address,
             domain: settings.domain.clone(),
             ready: self.is_ready(),
+            reaches_endpoints: self.reaches_endpoints(),
             config: self.config_version(),
             lease,
             in_contact_ms: self.in_contact_ms(now),
--- a/entry/src/members.rs
+++ b/entry/src/members.rs
@@ -84,10 +84,16 @@
     pub peer_address: SocketAddr,
     /// Address for callers.
     pub front_address: SocketAddr,
+    /// Address for forwarded requests; `None` if the entry takes none.
+    #[serde(default)]
+    pub forward_address: Option<SocketAddr>,
     /// Failure domain of the entry VM.
     pub domain: DomainName,
     /// Whether the entry accepts callers.
     pub ready: bool,
+    /// Whether the entry reaches endpoints, as far as it knows.
+    #[serde(default = "default_reach")]
+    pub reaches_endpoints: bool,
     /// Version of the configuration in force.
     pub config: u64,
     /// Newest lease known to the entry.
@@ -136,6 +142,10 @@
     pub removed: Vec<RemovedEndpoint>,
 }
 
+const fn default_reach() -> bool {
+    true
+}
+
 impl EntryState {
     /// Returns the endpoints that are draining, each with the start of its incarnation if known.
     pub fn draining(&self) -> impl Iterator<Item = (&EndpointId, Option<u64>)> {
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -26,6 +26,7 @@
 use crate::EntryState;
 use crate::ExposureBounds;
 use crate::Fingerprint;
+use crate::ForwardClient;
 use crate::LeaseState;
 use crate::LimitTable;
 use crate::ListCursor;
@@ -47,7 +48,7 @@
 use crate::Usage;
 use crate::WindowIndex;
 use crate::contact::Contact;
-use crate::owner::SilentOwners;
+use crate::owner::SilentPeers;
 use crate::part_evidence::Suspicion;
 use crate::wall_millis;
 
@@ -62,6 +63,8 @@
     pub front_address: SocketAddr,
     /// Address that peers connect to.
     pub peer_address: SocketAddr,
+    /// Address to which peers forward requests, if any.
+    pub forward_address: Option<SocketAddr>,
     /// Peer addresses to contact at the start.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole deployment starts for the first time.
@@ -123,8 +126,10 @@
     pub lease: Mutex<LeaseState>,
     /// Client for calls to peers.
     pub peers: PeerClient,
+    /// Client for the requests that are forwarded to peers.
+    pub forwards: ForwardClient,
     /// Owners of quotas and limits that did not answer lately.
-    pub(crate) silent_owners: Mutex<SilentOwners>,
+    pub(crate) silent_owners: Mutex<SilentPeers>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes requests that wait for a free slot.
@@ -173,6 +178,7 @@
             members: Mutex::default(),
             lease: Mutex::default(),
             peers: PeerClient::default(),
+            forwards: ForwardClient::default(),
             silent_owners: Mutex::default(),
             metrics,
             slot_freed: Notify::new(),
@@ -274,13 +280,9 @@
         self.shutdown_started.get().copied()
     }
 
-    /// Returns the caller addresses of at most `limit` ready entries, this one first.
-    pub fn caller_addresses(&self, now: Instant, limit: usize) -> Vec<SocketAddr> {
-        let members = self.members.lock();
-        let peers = members.live(now).filter(|p| p.state.ready);
-        let peers = peers.map(|p| p.state.front_address);
-        let own = self.is_ready().then_some(self.settings.front_address);
-        own.into_iter().chain(peers).take(limit).collect()
+    /// Returns whether this entry reaches endpoints, as far as it knows.
+    pub fn reaches_endpoints(&self) -> bool {
+        self.reach.lock().cut_since().is_none()
     }
 
     /// Returns the start of the process, in milliseconds since the Unix epoch.
--- a/entry/src/owner.rs
+++ b/entry/src/owner.rs
@@ -15,8 +15,8 @@
 /// Time within which an owner must have answered.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Time for which an owner that did not answer is not asked.
-pub(crate) const SILENT_OWNER_PERIOD: Duration = Duration::from_secs(1);
+/// Time for which a peer that did not answer is not asked.
+pub(crate) const SILENT_PEER_PERIOD: Duration = Duration::from_secs(1);
 
 /// Hash of a matter that one entry owns.
 #[derive(Clone, Copy, Debug)]
@@ -58,22 +58,22 @@
     best.map(|(name, address)| Owner::Peer(name.clone(), address))
 }
 
-/// Owners that did not answer lately.
+/// Peers that did not answer lately.
 #[derive(Debug, Default)]
-pub(crate) struct SilentOwners {
+pub(crate) struct SilentPeers {
     silent_until: IndexMap<EntryName, Instant>,
 }
 
-impl SilentOwners {
-    pub(crate) fn contains(&self, owner: &EntryName, now: Instant) -> bool {
-        let until = self.silent_until.get(owner);
+impl SilentPeers {
+    pub(crate) fn contains(&self, peer: &EntryName, now: Instant) -> bool {
+        let until = self.silent_until.get(peer);
         until.is_some_and(|until| now < *until)
     }
 
-    fn record(&mut self, owner: &EntryName, now: Instant) {
+    pub(crate) fn record(&mut self, peer: &EntryName, now: Instant) {
         self.silent_until.retain(|_, until| now < *until);
         self.silent_until
-            .insert(owner.clone(), now + SILENT_OWNER_PERIOD);
+            .insert(peer.clone(), now + SILENT_PEER_PERIOD);
     }
 }
 
--- a/entry/src/permit.rs
+++ b/entry/src/permit.rs
@@ -23,7 +23,7 @@
 use crate::apply_limit_reports;
 use crate::owner::OwnedKey;
 use crate::owner::Owner;
-use crate::owner::SILENT_OWNER_PERIOD;
+use crate::owner::SILENT_PEER_PERIOD;
 use crate::owner::choose_owner;
 use crate::refresh_interval;
 
@@ -79,7 +79,7 @@
         Some(Owner::Peer(owner, address)) => {
             let answer = ask(address, PermitRequest { limit });
             let permit = permit_of_peer(node, endpoint, &owner, answer).await;
-            let unanswered = ("unanswered", Permit::After(SILENT_OWNER_PERIOD));
+            let unanswered = ("unanswered", Permit::After(SILENT_PEER_PERIOD));
             permit.map_or(unanswered, decided)
         }
     };
--- a/entry/src/reach.rs
+++ b/entry/src/reach.rs
@@ -1,7 +1,8 @@
 //! Whether this entry reaches the endpoints, judged by what it hears from them.
 //!
 //! An entry may be cut off from all endpoints while callers, peers and the store still reach it. One
-//! failed send tells nothing of that; several endpoints that fail at the same time do.
+//! failed send tells nothing of that. When several endpoints fail at the same time, the entry probes
+//! some of them with new connections; it counts as cut off if none is established, until one is.
 
 use std::time::Duration;
 
@@ -20,34 +21,44 @@
 /// doubt that it reaches any.
 const MIN_DOUBTFUL_ENDPOINTS: usize = 2;
 
+/// Minimum time from the end of a probe to the next one.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
 /// A change of the contact with endpoints.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ContactChange {
+pub enum ReachChange {
     /// Several endpoints are silent or cannot be connected to.
     Doubted,
-    /// An endpoint was heard after this time without contact.
-    Heard(Duration),
+    /// That has been so for this time, and is no longer.
+    Confirmed(Duration),
+    /// No probed endpoint can be connected to.
+    Lost,
+    /// An endpoint can be connected to again, after this time.
+    Regained(Duration),
 }
 
 /// What this entry has heard from endpoints lately.
 #[derive(Debug, Default)]
 pub struct Reach {
-    /// Time of the last bytes from any endpoint.
-    last_contact: Option<Instant>,
-    /// Endpoints to which a request was sent since then, with the time of the first one.
+    /// Endpoints to which a request was sent since the last bytes from any endpoint, with the time of
+    /// the first one.
     unanswered: IndexMap<EndpointId, Instant>,
     /// Endpoints that could not be connected to, with the time of the last failure.
     unconnected: IndexMap<EndpointId, Instant>,
     doubted_since: Option<Instant>,
+    is_probing: bool,
+    /// End of the last probe.
+    probed_at: Option<Instant>,
+    cut_since: Option<Instant>,
 }
 
 impl Reach {
     /// Records a request that is sent to an endpoint.
-    pub fn record_send(&mut self, endpoint: &EndpointId, now: Instant) -> Option<ContactChange> {
+    pub fn record_send(&mut self, endpoint: &EndpointId, now: Instant) -> Option<ReachChange> {
         if !self.unanswered.contains_key(endpoint) {
             self.unanswered.insert(endpoint.clone(), now);
         }
-        self.doubt(now)
+        self.update_doubt(now)
     }
 
     /// Records that no connection to an endpoint was established.
@@ -55,23 +66,49 @@
         &mut self,
         endpoint: &EndpointId,
         now: Instant,
-    ) -> Option<ContactChange> {
+    ) -> Option<ReachChange> {
         self.unconnected
             .retain(|_, at| now.duration_since(*at) < FAILED_CONNECTION_PERIOD);
         self.unconnected.insert(endpoint.clone(), now);
         // The send has failed, so that no response is due.
         self.unanswered.swap_remove(endpoint);
-        self.doubt(now)
+        self.update_doubt(now)
     }
 
     /// Records bytes from an endpoint.
-    pub fn record_contact(&mut self, now: Instant) -> Option<ContactChange> {
-        let last = self.last_contact.replace(now);
+    pub fn record_contact(&mut self, now: Instant) -> Option<ReachChange> {
         self.unanswered.clear();
-        self.doubted_since.take().map(|since| {
-            let gap = now.duration_since(last.unwrap_or(since));
-            ContactChange::Heard(gap)
-        })
+        self.update_doubt(now)
+    }
+
+    /// Begins a probe if it is doubtful whether any endpoint is reached; returns whether it has begun.
+    pub fn begin_probe(&mut self, now: Instant) -> bool {
+        let is_due = self
+            .probed_at
+            .is_none_or(|at| now.duration_since(at) >= PROBE_PAUSE);
+        let begins = !self.is_probing && is_due && self.is_doubtful(now);
+        self.is_probing |= begins;
+        begins
+    }
+
+    /// Records whether a probe has reached an endpoint; the probe goes on until it has.
+    pub fn record_probe(&mut self, is_reached: bool, now: Instant) -> Option<ReachChange> {
+        if !is_reached {
+            let is_new = self.cut_since.is_none();
+            self.cut_since.get_or_insert(now);
+            return is_new.then_some(ReachChange::Lost);
+        }
+        self.is_probing = false;
+        self.probed_at = Some(now);
+        self.unanswered.clear();
+        self.unconnected.clear();
+        let since = self.cut_since.take()?;
+        Some(ReachChange::Regained(now.duration_since(since)))
+    }
+
+    /// Returns since when the entry is cut off from the endpoints; `None` if it is not.
+    pub fn cut_since(&self) -> Option<Instant> {
+        self.cut_since
     }
 
     /// Returns whether several endpoints are silent or could not be connected to.
@@ -83,11 +120,17 @@
         silent.count().max(failed.count()) >= MIN_DOUBTFUL_ENDPOINTS
     }
 
-    fn doubt(&mut self, now: Instant) -> Option<ContactChange> {
-        if self.doubted_since.is_some() || !self.is_doubtful(now) {
-            return None;
+    fn update_doubt(&mut self, now: Instant) -> Option<ReachChange> {
+        match (self.doubted_since, self.is_doubtful(now)) {
+            (None, true) => {
+                self.doubted_since = Some(now);
+                Some(ReachChange::Doubted)
+            }
+            (Some(since), false) => {
+                self.doubted_since = None;
+                Some(ReachChange::Confirmed(now.duration_since(since)))
+            }
+            (None, false) | (Some(_), true) => None,
         }
-        self.doubted_since = Some(now);
-        Some(ContactChange::Doubted)
     }
 }
--- /dev/null
+++ b/entry/src/reach_probe.rs
@@ -0,0 +1,90 @@
+//! Probes endpoints while it is doubtful whether this entry reaches any.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use rand::seq::IteratorRandom;
+use tokio::time::Instant;
+
+use crate::EndpointClient;
+use crate::Node;
+use crate::ReachChange;
+
+/// Number of endpoints that are probed at a time.
+const PROBED_ENDPOINTS: usize = 3;
+
+/// Time between two probes of an entry that is cut off.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Starts a probe if it is doubtful whether this entry reaches any endpoint.
+pub(crate) fn probe_if_doubtful<E: EndpointClient>(node: &Arc<Node>, client: &Arc<E>) {
+    if node.reach.lock().begin_probe(Instant::now()) {
+        tokio::spawn(probe_until_reached(Arc::clone(node), Arc::clone(client)));
+    }
+}
+
+async fn probe_until_reached<E: EndpointClient>(node: Arc<Node>, client: Arc<E>) {
+    loop {
+        let endpoints = sample_endpoints(&node);
+        // Without an endpoint there is nothing to be cut off from.
+        let is_reached = endpoints.is_empty() || reaches_any(&*client, endpoints).await;
+        let change = node.reach.lock().record_probe(is_reached, Instant::now());
+        apply_reach_change(&node, change);
+        if is_reached {
+            return;
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Returns the addresses of random endpoints that take requests.
+fn sample_endpoints(node: &Node) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let endpoints = node.endpoints.lock();
+    let serving = endpoints.iter().filter(|(_, e)| e.accepts_requests(now));
+    let addresses = serving.map(|(_, e)| e.record.address);
+    addresses.choose_multiple(&mut rand::rng(), PROBED_ENDPOINTS)
+}
+
+async fn reaches_any<E: EndpointClient>(client: &E, endpoints: Vec<SocketAddr>) -> bool {
+    let probes = endpoints
+        .into_iter()
+        .map(|address| client.can_connect(address));
+    stream::iter(probes)
+        .buffer_unordered(PROBED_ENDPOINTS)
+        .any(|is_reached| async move { is_reached })
+        .await
+}
+
+/// Logs and counts a change of the contact with endpoints, and tells peers at once whether this entry
+/// reaches any.
+pub(crate) fn apply_reach_change(node: &Node, change: Option<ReachChange>) {
+    match change {
+        None => {}
+        Some(ReachChange::Doubted) => {
+            node.metrics.record_contact("doubted");
+            tracing::info!(event = "contact_doubted");
+        }
+        Some(ReachChange::Confirmed(after)) => {
+            node.metrics.record_contact("confirmed");
+            tracing::info!(event = "contact_confirmed", after_ms = crate::millis(after));
+        }
+        Some(ReachChange::Lost) => {
+            node.metrics.record_contact("lost");
+            tracing::warn!(event = "reach_lost");
+            node.gossip_now.notify_one();
+        }
+        Some(ReachChange::Regained(after)) => {
+            node.metrics.record_contact("regained");
+            tracing::info!(event = "reach_regained", after_ms = crate::millis(after));
+            // What failed meanwhile says nothing of the endpoints.
+            for endpoint in node.endpoints.lock().iter_mut() {
+                endpoint.load.end_avoidance();
+            }
+            node.gossip_now.notify_one();
+        }
+    }
+}
--- a/entry/src/refusal.rs
+++ b/entry/src/refusal.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSecondsWithFrac;
+use serde_with::serde_as;
+
 /// Reason for which an entry refuses or ends a request itself.
-#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, displaydoc::Display, Eq, Hash, PartialEq, Serialize)]
 pub enum RefusalKind {
     /// the request is malformed
     BadRequest,
@@ -84,11 +89,13 @@
 }
 
 /// Final response of an entry to a request that no endpoint completed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
     /// Reason of the refusal.
     pub kind: RefusalKind,
     /// Time after which the caller may retry; only set if the request has not run.
+    #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
     pub retry_after: Option<Duration>,
 }
 
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -20,8 +20,9 @@
 use crate::ResponseBody;
 use crate::SendFailure;
 use crate::attempt::Attempts;
+use crate::forward::SentBody;
+use crate::reach_probe::apply_reach_change;
 use crate::reservation::Reservation;
-use crate::send_outcome::log_contact_change;
 use crate::sse::has_event;
 
 /// Multiple of the route's maximum pause after which a resumable stream is resumed elsewhere.
@@ -76,13 +77,14 @@
 
 #[derive(Debug)]
 struct Source<E: EndpointClient> {
-    body: E::Body,
-    reservation: Reservation,
+    body: SentBody<E::Body>,
+    /// Reservation at the endpoint; `None` if a peer passes the stream on.
+    reservation: Option<Reservation>,
     has_event: bool,
 }
 
 impl<E: EndpointClient> Source<E> {
-    fn new(body: E::Body, reservation: Reservation) -> Self {
+    fn new(body: SentBody<E::Body>, reservation: Option<Reservation>) -> Self {
         Self {
             body,
             reservation,
@@ -138,7 +140,7 @@
         client: Arc<E>,
         attempts: Attempts,
         head: StreamHead,
-        source: (E::Body, Reservation),
+        source: (SentBody<E::Body>, Option<Reservation>),
     ) -> Self {
         let (body, reservation) = source;
         let in_flight = node.track_request();
@@ -189,13 +191,13 @@
             let Some(source) = self.source.as_mut() else {
                 return Ok(None);
             };
-            let limit = event_timeout(&self.attempts);
+            let limit = event_timeout(&self.attempts, source.body.is_forwarded());
             let since = *self.waiting_since.get_or_insert_with(Instant::now);
             let until = (since + limit).min(self.attempts.request.deadline);
             match read_events(source, &mut self.splitter, until).await {
                 ReadOutcome::Events(events) => {
                     let change = self.node.reach.lock().record_contact(Instant::now());
-                    log_contact_change(&self.node, change);
+                    apply_reach_change(&self.node, change);
                     if let Some(id) = self.splitter.last_id() {
                         self.attempts.last_event = Some(id);
                     }
@@ -206,10 +208,12 @@
                     return Ok(Some(events));
                 }
                 ReadOutcome::End => {
-                    source.reservation.record_success(Instant::now());
-                    let states_end = source.body.states_end();
-                    self.attempts
-                        .record_completed(&self.node, &source.reservation, states_end);
+                    if let Some(reservation) = &source.reservation {
+                        reservation.record_success(Instant::now());
+                        let states_end = source.body.states_end();
+                        self.attempts
+                            .record_completed(&self.node, reservation, states_end);
+                    }
                     self.source = None;
                     let rest = self.splitter.take_rest();
                     return Ok((!rest.is_empty()).then_some(rest));
@@ -223,9 +227,9 @@
     async fn resume(&mut self, interruption: Interruption) -> Result<(), StreamBroken> {
         let reason = interruption.to_string();
         let failure = SendFailure::MayHaveRun(interruption);
-        if let Some(source) = self.source.take() {
+        if let Some(reservation) = self.source.take().and_then(|s| s.reservation) {
             self.attempts
-                .record_stream_failure(&self.node, &source.reservation, &failure);
+                .record_stream_failure(&self.node, &reservation, &failure);
         }
         self.splitter.discard_partial();
         self.waiting_since = None;
@@ -233,7 +237,7 @@
         if !self.attempts.kind().is_retryable() || !self.attempts.take_retry(&self.node) {
             return Err(StreamBroken(reason));
         }
-        let run = self.attempts.run(&self.node, &*self.client).await;
+        let run = self.attempts.run(&self.node, &self.client).await;
         let (response, reservation) =
             run.map_err(|refusal| StreamBroken(refusal.kind.to_string()))?;
         let EndpointResponse {
@@ -251,16 +255,23 @@
                 Ok(())
             }
             _ => {
-                if status < 300 {
-                    reservation.record_failed_response();
-                } else {
-                    self.attempts
-                        .record_response(&self.node, &reservation, status, states_end);
+                if let Some(reservation) = reservation {
+                    self.record_other_response(&reservation, status, states_end);
                 }
                 Err(StreamBroken(format!("resume failed with status {status}")))
             }
         }
     }
+
+    /// Records a response that does not go on with the stream.
+    fn record_other_response(&self, reservation: &Reservation, status: u16, states_end: bool) {
+        if status < 300 {
+            reservation.record_failed_response();
+        } else {
+            self.attempts
+                .record_response(&self.node, reservation, status, states_end);
+        }
+    }
 }
 
 async fn read_events<E: EndpointClient>(
@@ -296,13 +307,14 @@
     }
 }
 
-/// Returns the time without an event after which the stream counts as broken.
-fn event_timeout(attempts: &Attempts) -> Duration {
+/// Returns the time without an event after which the stream counts as broken; a peer that passes it on
+/// resumes it itself.
+fn event_timeout(attempts: &Attempts, is_forwarded: bool) -> Duration {
     let route = &attempts.request.route;
     let abandon = MIN_ABANDON_TIMEOUT
         .max(route.objective * ABANDON_OBJECTIVE_FACTOR)
         .max(route.max_pause * ABANDON_PAUSE_FACTOR);
-    if attempts.can_resend() {
+    if attempts.can_resend() && !is_forwarded {
         abandon.min(route.max_pause * RESUME_PAUSE_FACTOR)
     } else {
         abandon
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -3,7 +3,6 @@
 use tokio::time::Instant;
 
 use crate::Call;
-use crate::ContactChange;
 use crate::EndpointId;
 use crate::EndpointNotice;
 use crate::EndpointResponse;
@@ -11,6 +10,7 @@
 use crate::Node;
 use crate::SendFailure;
 use crate::attempt::AdmittedRequest;
+use crate::reach_probe::apply_reach_change;
 use crate::reservation::Reservation;
 
 /// Logs a failed send and records it in the endpoint's load and in the evidence of crashes.
@@ -42,6 +42,10 @@
         } => reservation.mark_draining(),
         SendFailure::Rejected { .. } => reservation.record_failure_in_load(),
         SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
+        // The links of an entry that is cut off are the cause, not the endpoint or the request.
+        SendFailure::MayHaveRun(_) if !node.reaches_endpoints() => {
+            reservation.record_unavailable_in_load(now);
+        }
         SendFailure::MayHaveRun(interruption) => {
             reservation.record_interrupted(now);
             if matches!(interruption, Interruption::ConnectionBroken(_)) {
@@ -124,20 +128,5 @@
         Err(SendFailure::MayHaveRun(_)) => None,
     };
     drop(reach);
-    log_contact_change(node, change);
-}
-
-/// Logs and counts a change of the contact with endpoints.
-pub(crate) fn log_contact_change(node: &Node, change: Option<ContactChange>) {
-    match change {
-        None => {}
-        Some(ContactChange::Doubted) => {
-            node.metrics.record_contact("doubted");
-            tracing::info!(event = "contact_doubted");
-        }
-        Some(ContactChange::Heard(gap)) => {
-            node.metrics.record_contact("heard");
-            tracing::info!(event = "contact_heard", gap_ms = crate::millis(gap));
-        }
-    }
+    apply_reach_change(node, change);
 }
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -22,6 +22,8 @@
 use crate::Route;
 use crate::attempt::AdmittedRequest;
 use crate::attempt::Attempts;
+use crate::attempt::SentResponse;
+use crate::forward_wire::ForwardHead;
 use crate::log_limit;
 use crate::quota_owner;
 use crate::relay::StreamHead;
@@ -70,17 +72,68 @@
 ) -> CallerResponse<E> {
     let _in_flight = node.track_request();
     let call = Arc::new(call);
-    let response = match admit(node, &call).await {
-        Ok(admitted) => run(node, client, admitted).await,
+    let response = match admit_and_charge(node, &call).await {
+        Ok(admitted) => run(node, client, Attempts::new(admitted)).await,
         Err(refusal) => CallerResponse::Refused(refusal),
     };
     log_response(node, &call, &response);
     response
 }
 
-/// Checks configuration, route, customer, shutdown, crash record, endpoint list and quota, in this
-/// order, and charges the quota.
-async fn admit(node: &Arc<Node>, call: &Arc<Call>) -> Result<AdmittedRequest, Refusal> {
+/// Sends a request that a peer forwards to endpoints and returns the response.
+///
+/// The peer has admitted and charged it, and counts it.
+pub(crate) async fn serve_forwarded<E: EndpointClient>(
+    node: &Arc<Node>,
+    client: &Arc<E>,
+    call: Call,
+    head: ForwardHead,
+) -> CallerResponse<E> {
+    let _in_flight = node.track_request();
+    let call = Arc::new(call);
+    let response = match admit_forwarded(node, &call, &head) {
+        Ok(admitted) => {
+            let attempts = Attempts::resume(admitted, &head.service, head.sends);
+            run(node, client, attempts).await
+        }
+        Err(refusal) => CallerResponse::Refused(refusal),
+    };
+    log_response(node, &call, &response);
+    response
+}
+
+/// Admits a request and charges its customer's quota.
+async fn admit_and_charge(node: &Arc<Node>, call: &Arc<Call>) -> Result<AdmittedRequest, Refusal> {
+    let admitted = admit(node, call)?;
+    let config = &admitted.config;
+    if let Some(customer) = find_customer(config, &admitted.route, call)? {
+        charge(node, customer, call).await?;
+    }
+    Ok(admitted)
+}
+
+/// Admits a request that a peer forwards, unless this entry is behind the peer's configuration or
+/// does not reach endpoints either.
+fn admit_forwarded(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    head: &ForwardHead,
+) -> Result<AdmittedRequest, Refusal> {
+    if node.config_version() < head.config {
+        return Err(Refusal::new(RefusalKind::NoConfig));
+    }
+    if !node.reaches_endpoints() {
+        return Err(Refusal::new(RefusalKind::NoEndpoint));
+    }
+    let admitted = admit(node, call)?;
+    Ok(AdmittedRequest {
+        is_forwarded: true,
+        ..admitted
+    })
+}
+
+/// Checks configuration, route, customer, shutdown, crash record and endpoint list, in this order.
+fn admit(node: &Arc<Node>, call: &Arc<Call>) -> Result<AdmittedRequest, Refusal> {
     let Some(config) = node.config() else {
         return Err(Refusal::with_retry_after(
             RefusalKind::NoConfig,
@@ -110,9 +163,6 @@
             STARTUP_RETRY_AFTER,
         ));
     }
-    if let Some(customer) = customer {
-        charge(node, customer, call).await?;
-    }
     let admitted = AdmittedRequest {
         call: Arc::clone(call),
         priority: customer.and_then(|c| c.priority).unwrap_or(route.priority),
@@ -121,6 +171,7 @@
         deadline: call.received + call.timeout_on(&route),
         route,
         config: Arc::clone(&config),
+        is_forwarded: false,
     };
     Ok(admitted)
 }
@@ -203,22 +254,23 @@
 async fn run<E: EndpointClient>(
     node: &Arc<Node>,
     client: &Arc<E>,
-    admitted: AdmittedRequest,
+    mut attempts: Attempts,
 ) -> CallerResponse<E> {
-    let mut attempts = Attempts::new(admitted);
-    let service = attempts.service().clone();
-    node.retries.lock().record_request(&service, Instant::now());
+    if !attempts.is_forwarded() {
+        let mut retries = node.retries.lock();
+        retries.record_request(attempts.service(), Instant::now());
+    }
     let sent = tokio::select! {
         biased;
         () = node.ending.cancelled() => Err(attempts.shutdown_refusal(SHUTDOWN_RETRY_AFTER)),
-        sent = attempts.run(node, &**client) => sent,
+        sent = attempts.run(node, client) => sent,
     };
     match sent {
         Ok((response, reservation)) => {
             build_response(node, client, attempts, response, reservation).await
         }
         Err(refusal) => {
-            if !attempts.may_have_run {
+            if !attempts.may_have_run && !attempts.is_forwarded() {
                 refund_quota(node, &attempts.request);
             }
             CallerResponse::Refused(refusal)
@@ -241,10 +293,11 @@
     node: &Arc<Node>,
     client: &Arc<E>,
     attempts: Attempts,
-    response: EndpointResponse<E::Body>,
-    reservation: Reservation,
+    response: SentResponse<E>,
+    reservation: Option<Reservation>,
 ) -> CallerResponse<E> {
-    let customer = attempts.request.customer.clone();
+    let counted = attempts.request.customer.clone();
+    let counted = counted.filter(|_| !attempts.is_forwarded());
     let EndpointResponse {
         status,
         headers,
@@ -253,13 +306,17 @@
         closing,
         notice: _,
     } = response;
-    if closing {
+    if let Some(reservation) = &reservation
+        && closing
+    {
         tracing::debug!(event = "endpoint_closing", endpoint = %reservation.endpoint);
     }
     match body {
         ResponseBody::Whole(body) => {
-            attempts.record_response(node, &reservation, status, states_end);
-            record_usage(node, customer.as_ref());
+            if let Some(reservation) = &reservation {
+                attempts.record_response(node, reservation, status, states_end);
+            }
+            record_usage(node, counted.as_ref());
             CallerResponse::Whole {
                 status,
                 headers,
@@ -282,7 +339,7 @@
             if !has_begun {
                 return CallerResponse::Refused(Refusal::new(RefusalKind::Broken));
             }
-            record_usage(node, customer.as_ref());
+            record_usage(node, counted.as_ref());
             CallerResponse::Stream {
                 status,
                 headers,
--- a/entry/tests/test_crash_parts.rs
+++ b/entry/tests/test_crash_parts.rs
@@ -2,6 +2,7 @@
 
 mod testutils;
 
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Weak;
@@ -129,6 +130,13 @@
 impl EndpointClient for CrashingClient {
     type Body = ScriptedBody;
 
+    // All endpoints have the same address.
+    async fn can_connect(&self, _address: SocketAddr) -> bool {
+        let system = self.system.upgrade().unwrap();
+        let processes = system.processes.lock();
+        !processes.is_empty()
+    }
+
     async fn send(
         &self,
         dispatch: Dispatch<'_>,
--- a/entry/tests/testutils/mod.rs
+++ b/entry/tests/testutils/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -63,6 +64,7 @@
         domain: DomainName::from("north"),
         front_address: "127.0.0.1:1".parse().unwrap(),
         peer_address: "127.0.0.1:2".parse().unwrap(),
+        forward_address: None,
         seeds: Vec::new(),
         first_start: true,
         retry: RetryBounds {
@@ -286,6 +288,10 @@
 impl EndpointClient for ScriptedClient {
     type Body = ScriptedBody;
 
+    async fn can_connect(&self, _address: SocketAddr) -> bool {
+        true
+    }
+
     async fn send(
         &self,
         dispatch: Dispatch<'_>,
