forward: an entry that is asked by a peer makes sure that it reaches endpoints itself

A peer that has heard from no endpoint for a second now probes before it takes a request, gives up after two endpoints, and the asking entry tries up to 16 peers instead of 5.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::ServiceName;
 use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
 use crate::connection::idle_connection_share;
+use crate::forward::MAX_UNREACHED_ENDPOINTS;
 use crate::forward::SentBody;
 use crate::forward::Way;
 use crate::prefill_time;
@@ -367,7 +368,12 @@
                 // a retry.
                 self.sends -= 1;
                 self.unreached += 1;
-                if self.tried.len() >= MAX_TRIED_ENDPOINTS {
+                let max_unreached = if self.is_forwarded() {
+                    MAX_UNREACHED_ENDPOINTS
+                } else {
+                    MAX_TRIED_ENDPOINTS
+                };
+                if self.unreached >= max_unreached || self.tried.len() >= MAX_TRIED_ENDPOINTS {
                     let after = Some(NO_ENDPOINT_RETRY_AFTER);
                     return Err(self.final_refusal(RefusalKind::NoEndpoint, after));
                 }
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -23,7 +23,6 @@
 use crate::EntryName;
 use crate::ExchangeError;
 use crate::Interruption;
-use crate::MAX_IDLE_PER_SERVER;
 use crate::Node;
 use crate::PoolSlot;
 use crate::PooledBody;
@@ -40,11 +39,16 @@
 use crate::forward_wire::ForwardOutcome;
 use crate::owner::SilentPeers;
 
-/// Number of endpoints that a request could not be written to, after which it is forwarded.
-const MAX_UNREACHED_ENDPOINTS: usize = 2;
+/// Number of endpoints that a request could not be written to, after which it is forwarded, or refused
+/// if a peer has forwarded it.
+pub(crate) const MAX_UNREACHED_ENDPOINTS: usize = 2;
 
-/// Number of peers to which a request is forwarded, one after the other.
-const MAX_TRIED_PEERS: usize = 5;
+/// Maximum number of peers to which a request is forwarded, one after the other. A peer that knows
+/// that it is cut off too says so at once.
+const MAX_TRIED_PEERS: usize = 16;
+
+/// Maximum number of idle connections kept per peer.
+const MAX_IDLE_PER_PEER: usize = 4;
 
 /// Time after which an entry that is cut off refuses what no peer takes, instead of trying endpoints:
 /// a sound endpoint may be silent for a moment.
@@ -249,7 +253,7 @@
         let slot = PoolSlot {
             pool: Arc::clone(pool),
             server: peer.address,
-            max_idle: MAX_IDLE_PER_SERVER,
+            max_idle: MAX_IDLE_PER_PEER,
         };
         read_response(response, connection, slot, self.request.deadline).await
     }
@@ -304,7 +308,7 @@
 async fn read_response<B>(
     response: Response<Incoming>,
     connection: Connection,
-    slot: PoolSlot,
+    mut slot: PoolSlot,
     deadline: Instant,
 ) -> Result<EndpointResponse<SentBody<B>>, ForwardFailure> {
     let Some(outcome) = ForwardOutcome::of(response.headers()) else {
@@ -313,6 +317,10 @@
             reason,
         )));
     };
+    if outcome == ForwardOutcome::Refused {
+        // Another peer is asked next.
+        slot.max_idle = 0;
+    }
     let status = response.status().as_u16();
     let headers = forward_wire::endpoint_headers(response.headers());
     let mut body = PooledBody::new(response, connection, slot);
--- a/entry/src/reach.rs
+++ b/entry/src/reach.rs
@@ -21,6 +21,9 @@
 /// doubt that it reaches any.
 const MIN_DOUBTFUL_ENDPOINTS: usize = 2;
 
+/// Time from the last bytes of an endpoint for which the entry is sure to reach it.
+const CONTACT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Minimum time from the end of a probe to the next one.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -40,6 +43,8 @@
 /// What this entry has heard from endpoints lately.
 #[derive(Debug, Default)]
 pub struct Reach {
+    /// Time of the last bytes from any endpoint.
+    last_contact: Option<Instant>,
     /// Endpoints to which a request was sent since the last bytes from any endpoint, with the time of
     /// the first one.
     unanswered: IndexMap<EndpointId, Instant>,
@@ -77,6 +82,7 @@
 
     /// Records bytes from an endpoint.
     pub fn record_contact(&mut self, now: Instant) -> Option<ReachChange> {
+        self.last_contact = Some(now);
         self.unanswered.clear();
         self.update_doubt(now)
     }
@@ -86,9 +92,18 @@
         let is_due = self
             .probed_at
             .is_none_or(|at| now.duration_since(at) >= PROBE_PAUSE);
-        let begins = !self.is_probing && is_due && self.is_doubtful(now);
-        self.is_probing |= begins;
-        begins
+        is_due && self.is_doubtful(now) && self.begin_check()
+    }
+
+    /// Begins a probe unless one is under way; returns whether it has begun.
+    pub(crate) fn begin_check(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_probing, true)
+    }
+
+    /// Returns whether an endpoint was heard just now.
+    pub(crate) fn is_sure(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.duration_since(at) < CONTACT_PERIOD;
+        self.cut_since.is_none() && self.last_contact.is_some_and(is_recent)
     }
 
     /// Records whether a probe has reached an endpoint; the probe goes on until it has.
@@ -100,6 +115,7 @@
         }
         self.is_probing = false;
         self.probed_at = Some(now);
+        self.last_contact = Some(now);
         self.unanswered.clear();
         self.unconnected.clear();
         let since = self.cut_since.take()?;
--- a/entry/src/reach_probe.rs
+++ b/entry/src/reach_probe.rs
@@ -26,13 +26,32 @@
     }
 }
 
+/// Returns whether this entry reaches an endpoint; probes some unless one was heard just now.
+pub(crate) async fn confirm_reach<E: EndpointClient>(node: &Arc<Node>, client: &Arc<E>) -> bool {
+    let begins = {
+        let mut reach = node.reach.lock();
+        if reach.cut_since().is_some() {
+            return false;
+        }
+        if reach.is_sure(Instant::now()) {
+            return true;
+        }
+        reach.begin_check()
+    };
+    let is_reached = probe_once(node, &**client).await;
+    if begins {
+        record_probe(node, is_reached);
+    }
+    if begins && !is_reached {
+        tokio::spawn(probe_until_reached(Arc::clone(node), Arc::clone(client)));
+    }
+    is_reached
+}
+
 async fn probe_until_reached<E: EndpointClient>(node: Arc<Node>, client: Arc<E>) {
     loop {
-        let endpoints = sample_endpoints(&node);
-        // Without an endpoint there is nothing to be cut off from.
-        let is_reached = endpoints.is_empty() || reaches_any(&*client, endpoints).await;
-        let change = node.reach.lock().record_probe(is_reached, Instant::now());
-        apply_reach_change(&node, change);
+        let is_reached = probe_once(&node, &*client).await;
+        record_probe(&node, is_reached);
         if is_reached {
             return;
         }
@@ -40,6 +59,18 @@
     }
 }
 
+/// Returns whether one of some random endpoints can be connected to.
+async fn probe_once<E: EndpointClient>(node: &Node, client: &E) -> bool {
+    let endpoints = sample_endpoints(node);
+    // Without an endpoint there is nothing to be cut off from.
+    endpoints.is_empty() || reaches_any(client, endpoints).await
+}
+
+fn record_probe(node: &Node, is_reached: bool) {
+    let change = node.reach.lock().record_probe(is_reached, Instant::now());
+    apply_reach_change(node, change);
+}
+
 /// Returns the addresses of random endpoints that take requests.
 fn sample_endpoints(node: &Node) -> Vec<SocketAddr> {
     let now = Instant::now();
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::forward_wire::ForwardHead;
 use crate::log_limit;
 use crate::quota_owner;
+use crate::reach_probe::confirm_reach;
 use crate::relay::StreamHead;
 use crate::reservation::Reservation;
 use crate::shutdown::LateRequest;
@@ -91,7 +92,7 @@
 ) -> CallerResponse<E> {
     let _in_flight = node.track_request();
     let call = Arc::new(call);
-    let response = match admit_forwarded(node, &call, &head) {
+    let response = match admit_forwarded(node, client, &call, &head).await {
         Ok(admitted) => {
             let attempts = Attempts::resume(admitted, &head.service, head.sends);
             run(node, client, attempts).await
@@ -114,15 +115,16 @@
 
 /// Admits a request that a peer forwards, unless this entry is behind the peer's configuration or
 /// does not reach endpoints either.
-fn admit_forwarded(
+async fn admit_forwarded<E: EndpointClient>(
     node: &Arc<Node>,
+    client: &Arc<E>,
     call: &Arc<Call>,
     head: &ForwardHead,
 ) -> Result<AdmittedRequest, Refusal> {
     if node.config_version() < head.config {
         return Err(Refusal::new(RefusalKind::NoConfig));
     }
-    if !node.reaches_endpoints() {
+    if !confirm_reach(node, client).await {
         return Err(Refusal::new(RefusalKind::NoEndpoint));
     }
     let admitted = admit(node, call)?;
