brittle: all entries together spare endpoints that fall over when they reject too many

What callers would see: a brittle endpoint turns away whatever exceeds its room, falls over and is back after some seconds, again and again, because entries that know nothing of each other's requests fill it together. Same class as the exceeded rate limit: what one entry is told binds all.

The statement (Server-Brittle) spreads as a second kind of rate limit. Until it ends, the entry that owns the endpoint's limits grants a permit for each request: it counts the requests of all entries that run there, whose ends they report to it, and grants no more than the endpoint has slots. Placement does not count on a queue of a brittle endpoint. Endpoints that are not brittle pay nothing.

--- a/entry/src/endpoint_client.rs
+++ b/entry/src/endpoint_client.rs
@@ -52,6 +52,8 @@
     pub retry_after: Option<Duration>,
     /// What the endpoint says of its rate limit.
     pub limit: LimitNotice,
+    /// What the endpoint says of the rejections that it survives while it is brittle.
+    pub brittle: LimitNotice,
 }
 
 /// How a send or a stream ended without the endpoint saying whether it ran the request.
--- a/entry/src/endpoint_load.rs
+++ b/entry/src/endpoint_load.rs
@@ -86,6 +86,7 @@
     /// End of the time for which no permit for the endpoint's rate limit is to be had.
     held_until: Option<Instant>,
     latency_ms: Option<f64>,
+    is_brittle: bool,
 }
 
 impl EndpointLoad {
@@ -196,6 +197,16 @@
         self.pause_left(now).max(self.hold_left(now))
     }
 
+    /// Records whether the endpoint falls over when it rejects too many requests.
+    pub fn set_brittle(&mut self, is_brittle: bool) {
+        self.is_brittle = is_brittle;
+    }
+
+    /// Returns whether the endpoint falls over when it rejects too many requests.
+    pub fn is_brittle(&self) -> bool {
+        self.is_brittle
+    }
+
     /// Returns the number of in-flight requests of all entries.
     pub fn running(&self) -> u32 {
         self.running.saturating_add(self.peers.running)
--- a/entry/src/endpoint_news.rs
+++ b/entry/src/endpoint_news.rs
@@ -18,6 +18,7 @@
 use crate::EndpointId;
 use crate::EntryName;
 use crate::LimitChange;
+use crate::LimitKind;
 use crate::LimitReport;
 use crate::Node;
 use crate::RateLimit;
@@ -90,7 +91,8 @@
     for report in reports {
         let change = node.limits.lock().merge(report, Instant::now());
         if let Some(change) = change {
-            apply_limit_change(node, &report.endpoint, change, NewsSource::Peer(peer));
+            let source = NewsSource::Peer(peer);
+            apply_limit_change(node, &report.endpoint, report.kind, change, source);
         }
     }
 }
@@ -99,6 +101,7 @@
 pub(crate) fn apply_limit_change(
     node: &Node,
     endpoint: &EndpointId,
+    kind: LimitKind,
     change: LimitChange,
     source: NewsSource<'_>,
 ) {
@@ -106,6 +109,7 @@
         tracing::info!(
             event = "endpoint_limit",
             %endpoint,
+            ?kind,
             limit = change.limit.map(RateLimit::per_second),
             previous = change.previous.map(RateLimit::per_second),
             source = source.name(),
@@ -114,6 +118,9 @@
     }
     if let Some(endpoint) = node.endpoints.lock().by_id_mut(endpoint) {
         endpoint.load.end_hold();
+        if kind == LimitKind::Rejections {
+            endpoint.load.set_brittle(change.limit.is_some());
+        }
     }
     node.news_added.notify_one();
 }
--- a/entry/src/gossip.rs
+++ b/entry/src/gossip.rs
@@ -280,6 +280,7 @@
     let now = Instant::now();
     node.limits.lock().remove_expired(now);
     node.permits.lock().remove_idle(now);
+    node.brittle.lock().remove_idle(now);
 }
 
 /// Waits for an urgent change, until `not_before` at least; one that comes earlier is kept.
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod baseline;
+mod brittle;
 mod call;
 mod caller_server;
 mod clock;
@@ -74,6 +75,8 @@
 mod usage;
 mod usage_delivery;
 
+pub use brittle::BrittleLedger;
+pub use brittle::CountedRun;
 pub use call::Call;
 pub use call::Prompt;
 pub use call::PromptPart;
@@ -204,8 +207,12 @@
 pub use peer_search::find_peers;
 pub use permit::PermitReply;
 pub use permit::PermitRequest;
+pub use permit::SendEnd;
 pub use permit::acquire_permit;
+pub use permit::apply_ends;
 pub use permit::decide_permit;
+pub use permit::report_ends;
+pub use permit::take_ends;
 pub use permit_bucket::Permit;
 pub use permit_bucket::PermitBucket;
 pub use permit_bucket::PermitLedger;
@@ -222,6 +229,7 @@
 pub use quota_owner::decide_quota;
 pub use rate_limit::InvalidRate;
 pub use rate_limit::LimitChange;
+pub use rate_limit::LimitKind;
 pub use rate_limit::LimitNotice;
 pub use rate_limit::LimitReport;
 pub use rate_limit::LimitTable;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -44,9 +44,11 @@
 use crate::RolloutOrder;
 use crate::Rollouts;
 use crate::Route;
+use crate::SendEnd;
 use crate::ServiceName;
 use crate::Usage;
 use crate::WindowIndex;
+use crate::brittle::BrittleLedger;
 use crate::contact::Contact;
 use crate::owner::SilentPeers;
 use crate::part_evidence::Suspicion;
@@ -102,6 +104,12 @@
     pub limits: Mutex<LimitTable>,
     /// Permits for endpoints whose limits this entry owns.
     pub permits: Mutex<PermitLedger>,
+    /// Requests at the brittle endpoints whose limits this entry owns.
+    pub(crate) brittle: Mutex<BrittleLedger>,
+    /// Ends of requests at brittle endpoints that the owners of the limits have not been told yet.
+    pub(crate) unreported_ends: Mutex<Vec<SendEnd>>,
+    /// Wakes the task that reports them.
+    pub(crate) end_added: Notify,
     /// Whether this entry reaches endpoints.
     pub reach: Mutex<Reach>,
     /// Retry budget by service.
@@ -166,6 +174,9 @@
             quotas: Mutex::new(QuotaLedger::new(settings.first_start)),
             limits: Mutex::default(),
             permits: Mutex::default(),
+            brittle: Mutex::default(),
+            unreported_ends: Mutex::default(),
+            end_added: Notify::new(),
             reach: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(settings.retry)),
             rollouts: Mutex::default(),
--- a/entry/src/peer_rpc.rs
+++ b/entry/src/peer_rpc.rs
@@ -24,7 +24,9 @@
 use crate::PermitRequest;
 use crate::QuotaDecision;
 use crate::QuotaRequest;
+use crate::SendEnd;
 use crate::UsageDelivery;
+use crate::apply_ends;
 use crate::apply_news;
 use crate::apply_page;
 use crate::decide_permit;
@@ -61,6 +63,10 @@
     #[method(name = "permit")]
     async fn permit(&self, request: PermitRequest) -> RpcResult<PermitReply>;
 
+    /// Tells the owner of endpoints' limits of requests that ended.
+    #[method(name = "ends")]
+    async fn ends(&self, ends: Vec<SendEnd>) -> RpcResult<()>;
+
     /// Announces what endpoints have said.
     #[method(name = "news")]
     async fn news(&self, news: EndpointNews) -> RpcResult<()>;
@@ -93,6 +99,11 @@
         Ok(decide_permit(&self.node, &request))
     }
 
+    async fn ends(&self, ends: Vec<SendEnd>) -> RpcResult<()> {
+        apply_ends(&self.node, &ends);
+        Ok(())
+    }
+
     async fn news(&self, news: EndpointNews) -> RpcResult<()> {
         apply_news(&self.node, &news);
         Ok(())
@@ -165,6 +176,12 @@
         self.call("permit", address, call).await
     }
 
+    /// Tells the owner of endpoints' limits of requests that ended.
+    pub async fn report_ends(&self, address: SocketAddr, ends: Vec<SendEnd>) {
+        let call = async |client: HttpClient| client.ends(ends).await;
+        self.call("ends", address, call).await;
+    }
+
     /// Tells a peer what endpoints have said.
     pub async fn announce_news(&self, address: SocketAddr, news: EndpointNews) {
         let call = async |client: HttpClient| client.news(news).await;
--- a/entry/src/permit.rs
+++ b/entry/src/permit.rs
@@ -7,8 +7,10 @@
 //! or has just changed costs the use of that endpoint for a moment, never the limit.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -16,11 +18,13 @@
 use crate::EndpointId;
 use crate::EndpointProcess;
 use crate::EntryName;
+use crate::LimitKind;
 use crate::LimitReport;
 use crate::Members;
 use crate::Node;
 use crate::Permit;
 use crate::apply_limit_reports;
+use crate::brittle::CountedRun;
 use crate::owner::OwnedKey;
 use crate::owner::Owner;
 use crate::owner::SILENT_PEER_PERIOD;
@@ -30,6 +34,9 @@
 /// Time for which an endpoint is left alone while entries disagree on its owner.
 const UNKNOWN_OWNER_WAIT: Duration = Duration::from_millis(300);
 
+/// Minimum time between two reports of ended requests.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Minimum time in contact with peers, in addition to [`SETTLING_INTERVALS`] refresh intervals, after
 /// which an entry owns limits; by then all entries know of it.
 const BASE_SETTLING_TIME: Duration = Duration::from_secs(2);
@@ -42,6 +49,26 @@
 pub struct PermitRequest {
     /// What the asking entry knows of the endpoint's limit.
     pub limit: LimitReport,
+    /// The same for a limit of another kind.
+    #[serde(default)]
+    pub other_limits: Vec<LimitReport>,
+    /// Number of requests that the endpoint processes concurrently.
+    #[serde(default)]
+    pub slots: u32,
+    /// Time after which the request has ended, in milliseconds.
+    #[serde(default)]
+    pub time_left_ms: u64,
+}
+
+/// End of a request at a brittle endpoint, for the owner of the endpoint's limit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SendEnd {
+    /// Id of the endpoint.
+    pub endpoint: EndpointId,
+    /// Start of the endpoint's incarnation, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Whether the endpoint rejected the request for want of room.
+    pub is_rejected: bool,
 }
 
 /// Decision of the owner of an endpoint's limit.
@@ -66,18 +93,31 @@
     node: &Node,
     endpoint: &EndpointId,
     incarnation: u64,
+    time_left: Duration,
     ask: impl AsyncFnOnce(SocketAddr, PermitRequest) -> Option<PermitReply>,
 ) -> Permit {
     let now = Instant::now();
-    let report = node.limits.lock().report_of(endpoint, incarnation, now);
-    let Some(limit) = report else {
+    let reports = node.limits.lock().reports_of(endpoint, incarnation, now);
+    let mut reports = reports.into_iter();
+    let Some(limit) = reports.next() else {
         return Permit::Granted;
     };
+    let slots = node
+        .endpoints
+        .lock()
+        .by_id_mut(endpoint)
+        .map(|e| e.record.slots);
+    let request = PermitRequest {
+        limit,
+        other_limits: reports.collect(),
+        slots: slots.unwrap_or_default(),
+        time_left_ms: crate::millis(time_left),
+    };
     let (outcome, permit) = match find_owner(node, endpoint, now) {
         None => ("unowned", Permit::After(UNKNOWN_OWNER_WAIT)),
-        Some(Owner::Own) => decided(take_permit(node, &limit, now)),
+        Some(Owner::Own) => decided(take_permits(node, &request, now)),
         Some(Owner::Peer(owner, address)) => {
-            let answer = ask(address, PermitRequest { limit });
+            let answer = ask(address, request);
             let permit = permit_of_peer(node, endpoint, &owner, answer).await;
             let unanswered = ("unanswered", Permit::After(SILENT_PEER_PERIOD));
             permit.map_or(unanswered, decided)
@@ -114,10 +154,11 @@
 /// Decides on a peer's request as the owner of the endpoint's limit.
 pub fn decide_permit(node: &Node, request: &PermitRequest) -> PermitReply {
     let now = Instant::now();
-    let limit = &request.limit;
-    apply_limit_reports(node, std::slice::from_ref(limit), None);
-    let permit = if find_owner(node, &limit.endpoint, now) == Some(Owner::Own) {
-        take_permit(node, limit, now)
+    let endpoint = &request.limit.endpoint;
+    apply_limit_reports(node, std::slice::from_ref(&request.limit), None);
+    apply_limit_reports(node, &request.other_limits, None);
+    let permit = if find_owner(node, endpoint, now) == Some(Owner::Own) {
+        take_permits(node, request, now)
     } else {
         Permit::After(UNKNOWN_OWNER_WAIT)
     };
@@ -129,16 +170,74 @@
     }
 }
 
-/// Takes a permit as the owner of an endpoint's limit, at the newest limit that is known.
-fn take_permit(node: &Node, report: &LimitReport, now: Instant) -> Permit {
-    let (endpoint, incarnation) = (&report.endpoint, report.incarnation);
-    let limit = node.limits.lock().limit_of(endpoint, incarnation);
-    let Some(limit) = limit else {
-        return Permit::Granted;
-    };
-    let rate = limit.per_second() * reachable_share(&node.members.lock(), now);
+/// Takes a permit as the owner of an endpoint's limits, at the newest ones that are known.
+fn take_permits(node: &Node, request: &PermitRequest, now: Instant) -> Permit {
+    let (endpoint, incarnation) = (&request.limit.endpoint, request.limit.incarnation);
     let process = EndpointProcess::new(endpoint, incarnation);
-    node.permits.lock().take(process, rate, now)
+    let share = reachable_share(&node.members.lock(), now);
+    let limits = node.limits.lock();
+    let limit = |kind| limits.limit_of(kind, endpoint, incarnation);
+    let (rejections, requests) = (limit(LimitKind::Rejections), limit(LimitKind::Requests));
+    drop(limits);
+    if let Some(limit) = rejections {
+        let run = CountedRun {
+            max_rejections: limit.per_second() * share,
+            slots: request.slots,
+            ends_at: now + Duration::from_millis(request.time_left_ms),
+        };
+        let permit = node.brittle.lock().take(process, run, now);
+        if permit != Permit::Granted {
+            return permit;
+        }
+    }
+    requests.map_or(Permit::Granted, |limit| {
+        let rate = limit.per_second() * share;
+        node.permits.lock().take(process, rate, now)
+    })
+}
+
+/// Applies the ends of requests as the owner of the endpoints' limits.
+pub fn apply_ends(node: &Node, ends: &[SendEnd]) {
+    let mut ledger = node.brittle.lock();
+    for end in ends {
+        let process = EndpointProcess::new(&end.endpoint, end.incarnation);
+        ledger.record_end(process, end.is_rejected, Instant::now());
+    }
+}
+
+impl Node {
+    /// Queues the end of a request for the owner of the endpoint's limit.
+    pub fn report_end(&self, end: SendEnd) {
+        self.unreported_ends.lock().push(end);
+        self.end_added.notify_one();
+    }
+}
+
+/// Takes the ends of requests that are to be reported, by the address of the peer that owns the
+/// endpoint's limit; applies those that this entry owns.
+pub fn take_ends(node: &Node, now: Instant) -> IndexMap<SocketAddr, Vec<SendEnd>> {
+    let ends = std::mem::take(&mut *node.unreported_ends.lock());
+    let mut by_owner: IndexMap<SocketAddr, Vec<SendEnd>> = IndexMap::new();
+    for end in ends {
+        match find_owner(node, &end.endpoint, now) {
+            Some(Owner::Own) => apply_ends(node, &[end]),
+            Some(Owner::Peer(_, address)) => by_owner.entry(address).or_default().push(end),
+            None => {}
+        }
+    }
+    by_owner
+}
+
+/// Reports the ends of requests to the owners of the endpoints' limits until the process ends.
+pub async fn report_ends(node: &Arc<Node>) {
+    loop {
+        node.end_added.notified().await;
+        for (address, ends) in take_ends(node, Instant::now()) {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { node.peers.report_ends(address, ends).await });
+        }
+        tokio::time::sleep(MIN_REPORT_INTERVAL).await;
+    }
 }
 
 /// Returns the part of the known entries that are live.
--- a/entry/src/placement.rs
+++ b/entry/src/placement.rs
@@ -189,6 +189,10 @@
 
 fn is_full(endpoint: &Endpoint, request: &PlacementRequest<'_>) -> bool {
     let running = endpoint.load.running();
+    // A brittle endpoint may let none wait.
+    if endpoint.load.is_brittle() && running >= endpoint.record.slots {
+        return true;
+    }
     match (request.engine, request.prompt) {
         (Some(engine), Some(prompt)) => {
             let capacity = engine.kv_capacity as f64 * MAX_KV_CACHE_FRACTION;
--- a/entry/src/rate_limit.rs
+++ b/entry/src/rate_limit.rs
@@ -1,4 +1,5 @@
-//! Rate limits that endpoints state in their responses.
+//! Rate limits that endpoints state in their responses: of the requests that they take, or of those that
+//! they reject for want of room while they are brittle.
 //!
 //! A limit holds for all entries together, but a response reaches one of them. Entries therefore
 //! tell each other what they have heard. Statements are ordered by when an endpoint made them.
@@ -32,7 +33,24 @@
 /// Maximum number of limits that an entry remembers.
 const MAX_LIMITS: usize = 4096;
 
-/// Requests per second that an endpoint takes from all entries together.
+/// What a rate limit is about.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub enum LimitKind {
+    /// Requests that the endpoint takes.
+    #[default]
+    Requests,
+    /// Requests that the endpoint can reject for want of room before it falls over.
+    Rejections,
+}
+
+impl LimitKind {
+    /// All kinds, those that are checked first come first.
+    pub(crate) const ALL: [Self; 2] = [Self::Rejections, Self::Requests];
+}
+
+/// Number per second that an endpoint states for all entries together.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
 #[serde(try_from = "f64")]
 pub struct RateLimit(f64);
@@ -43,7 +61,7 @@
         (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
     }
 
-    /// Parses a decimal number of requests per second, without sign or exponent.
+    /// Parses a decimal number per second, without sign or exponent.
     fn parse(text: &str) -> Option<Self> {
         let text = text.trim();
         let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
@@ -51,7 +69,7 @@
         rate.and_then(Self::new)
     }
 
-    /// Returns the requests per second.
+    /// Returns the number per second.
     pub const fn per_second(self) -> f64 {
         self.0
     }
@@ -59,7 +77,7 @@
 
 /// Error of a rate that is negative or not finite.
 #[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq, thiserror::Error)]
-#[displaydoc("not a number of requests per second")]
+#[displaydoc("not a number per second")]
 pub struct InvalidRate;
 
 impl TryFrom<f64> for RateLimit {
@@ -104,6 +122,9 @@
     pub endpoint: EndpointId,
     /// Start of the endpoint's incarnation, in milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// What the limit is about.
+    #[serde(default)]
+    pub kind: LimitKind,
     /// Limit; `None` if it has ended.
     pub limit: Option<RateLimit>,
     /// Time since the endpoint said so, in milliseconds.
@@ -131,6 +152,7 @@
 struct Statement {
     endpoint: EndpointId,
     incarnation: u64,
+    kind: LimitKind,
     limit: Option<RateLimit>,
     /// Time as of which the endpoint said so.
     stated_at: Instant,
@@ -145,6 +167,7 @@
         LimitReport {
             endpoint: self.endpoint.clone(),
             incarnation: self.incarnation,
+            kind: self.kind,
             limit: self.limit,
             age_ms: crate::millis(now.saturating_duration_since(self.stated_at)),
         }
@@ -159,22 +182,30 @@
     }
 }
 
-/// Newest rate limit of each endpoint process that has stated one.
+/// Key of a limit.
+type LimitKey = (EndpointProcess, LimitKind);
+
+/// Newest rate limit of each kind of each endpoint process that has stated one.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    statements: IndexMap<EndpointProcess, Statement>,
-    /// Processes with a change that has not been announced to peers.
-    unannounced: IndexSet<EndpointProcess>,
+    statements: IndexMap<LimitKey, Statement>,
+    /// Limits with a change that has not been announced to peers.
+    unannounced: IndexSet<LimitKey>,
 }
 
 impl LimitTable {
     /// Returns the limit of an endpoint process; `None` if there is none.
-    pub fn limit_of(&self, endpoint: &EndpointId, incarnation: u64) -> Option<RateLimit> {
+    pub fn limit_of(
+        &self,
+        kind: LimitKind,
+        endpoint: &EndpointId,
+        incarnation: u64,
+    ) -> Option<RateLimit> {
         if self.statements.is_empty() {
             return None;
         }
         let process = EndpointProcess::new(endpoint, incarnation);
-        self.statements.get(&process)?.limit
+        self.statements.get(&(process, kind))?.limit
     }
 
     /// Records what the response to a request that was sent at `sent` says.
@@ -185,6 +216,7 @@
     /// Returns the change, if there is one.
     pub fn record_response(
         &mut self,
+        kind: LimitKind,
         endpoint: &EndpointId,
         incarnation: u64,
         notice: LimitNotice,
@@ -200,6 +232,7 @@
         let statement = Statement {
             endpoint: endpoint.clone(),
             incarnation,
+            kind,
             limit,
             stated_at,
             is_own: true,
@@ -214,6 +247,7 @@
         let statement = Statement {
             endpoint: report.endpoint.clone(),
             incarnation: report.incarnation,
+            kind: report.kind,
             limit: report.limit,
             stated_at: now.checked_sub(age)?,
             is_own: false,
@@ -225,16 +259,21 @@
         self.update(statement)
     }
 
-    /// Returns what this entry knows of a limited endpoint process.
-    pub fn report_of(
+    /// Returns what this entry knows of the limits of an endpoint process.
+    pub fn reports_of(
         &self,
         endpoint: &EndpointId,
         incarnation: u64,
         now: Instant,
-    ) -> Option<LimitReport> {
+    ) -> Vec<LimitReport> {
+        if self.statements.is_empty() {
+            return Vec::new();
+        }
         let process = EndpointProcess::new(endpoint, incarnation);
-        let statement = self.statements.get(&process)?;
-        statement.limit.is_some().then(|| statement.report(now))
+        let statements = LimitKind::ALL.map(|kind| self.statements.get(&(process, kind)));
+        let limited = statements.into_iter().flatten();
+        let limited = limited.filter(|s| s.limit.is_some());
+        limited.map(|s| s.report(now)).collect()
     }
 
     /// Returns what this entry has heard itself, newest first, to be sent to peers.
@@ -257,8 +296,8 @@
     pub fn take_announcements(&mut self, now: Instant) -> Vec<LimitReport> {
         let mut due = Vec::new();
         let statements = &mut self.statements;
-        self.unannounced.retain(|process| {
-            let Some(statement) = statements.get_mut(process) else {
+        self.unannounced.retain(|key| {
+            let Some(statement) = statements.get_mut(key) else {
                 return false;
             };
             if now < statement.next_announcement {
@@ -274,7 +313,7 @@
     /// Returns when the next announcement is due; `None` if there is none.
     pub fn next_announcement(&self) -> Option<Instant> {
         let unannounced = self.unannounced.iter();
-        let statements = unannounced.filter_map(|process| self.statements.get(process));
+        let statements = unannounced.filter_map(|key| self.statements.get(key));
         statements.map(|s| s.next_announcement).min()
     }
 
@@ -285,9 +324,10 @@
 
     fn update(&mut self, mut statement: Statement) -> Option<LimitChange> {
         let process = EndpointProcess::new(&statement.endpoint, statement.incarnation);
-        let Some(known) = self.statements.get(&process) else {
+        let key = (process, statement.kind);
+        let Some(known) = self.statements.get(&key) else {
             let limit = statement.limit?;
-            self.insert(process, statement);
+            self.insert(key, statement);
             let (previous, limit) = (None, Some(limit));
             return Some(LimitChange { previous, limit });
         };
@@ -298,16 +338,16 @@
         statement.next_announcement = known.next_announcement;
         if previous == limit {
             statement.is_own |= known.is_own;
-            self.statements.insert(process, statement);
+            self.statements.insert(key, statement);
             return None;
         }
-        self.insert(process, statement);
+        self.insert(key, statement);
         Some(LimitChange { previous, limit })
     }
 
-    fn insert(&mut self, process: EndpointProcess, statement: Statement) {
-        self.statements.insert(process, statement);
-        self.unannounced.insert(process);
+    fn insert(&mut self, key: LimitKey, statement: Statement) {
+        self.statements.insert(key, statement);
+        self.unannounced.insert(key);
         if self.statements.len() > MAX_LIMITS {
             self.statements.shift_remove_index(0);
         }
--- a/entry/src/reservation.rs
+++ b/entry/src/reservation.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::time::Instant;
 
@@ -9,11 +11,13 @@
 use crate::EndpointKey;
 use crate::EndpointNotice;
 use crate::EndpointProcess;
+use crate::LimitKind;
 use crate::LimitNotice;
 use crate::Node;
 use crate::Occupancy;
 use crate::Outcomes;
 use crate::RateLimit;
+use crate::SendEnd;
 use crate::ServiceName;
 use crate::VersionSide;
 use crate::endpoint_news::NewsSource;
@@ -38,6 +42,10 @@
     pub(crate) side: Option<VersionSide>,
     /// Number of the request among those of open rollouts.
     pub(crate) rollout_number: Option<u64>,
+    /// Whether the owner of the brittle endpoint's limit counts the request as running.
+    pub(crate) is_counted: bool,
+    /// Whether the endpoint rejected the request for want of room.
+    pub(crate) is_rejected: AtomicBool,
     pub(crate) started: Instant,
 }
 
@@ -49,6 +57,13 @@
         if let Some(number) = self.rollout_number {
             self.node.rollouts.lock().end_running(number);
         }
+        if self.is_counted {
+            self.node.report_end(SendEnd {
+                endpoint: self.endpoint.clone(),
+                incarnation: self.incarnation,
+                is_rejected: self.is_rejected.load(Ordering::Relaxed),
+            });
+        }
         self.node.slot_freed.notify_waiters();
     }
 }
@@ -83,6 +98,12 @@
         self.update_evidence(|outcomes| outcomes.failed += 1);
     }
 
+    /// Records that the endpoint rejected the request for want of room.
+    pub(crate) fn record_rejected(&self) {
+        self.is_rejected.store(true, Ordering::Relaxed);
+        self.record_failure_in_load();
+    }
+
     /// Returns the process that the request is sent to.
     pub(crate) fn process(&self) -> EndpointProcess {
         EndpointProcess::new(&self.endpoint, self.incarnation)
@@ -91,7 +112,7 @@
     /// Returns the rate limit that the endpoint has stated, if any.
     pub(crate) fn limit(&self) -> Option<RateLimit> {
         let limits = self.node.limits.lock();
-        limits.limit_of(&self.endpoint, self.incarnation)
+        limits.limit_of(LimitKind::Requests, &self.endpoint, self.incarnation)
     }
 
     /// Returns whether the endpoint is still expected to serve requests.
@@ -148,20 +169,21 @@
                 pause_ms = crate::millis(duration),
             );
         }
-        self.apply_limit(notice.limit, now);
+        self.apply_limit(LimitKind::Requests, notice.limit, now);
+        self.apply_limit(LimitKind::Rejections, notice.brittle, now);
     }
 
-    /// Applies what the endpoint said of its rate limit.
-    fn apply_limit(&self, notice: LimitNotice, now: Instant) {
+    /// Applies what the endpoint said of a rate limit.
+    fn apply_limit(&self, kind: LimitKind, notice: LimitNotice, now: Instant) {
         if notice == LimitNotice::Malformed && log_limit::allows("endpoint_limit_malformed") {
-            tracing::warn!(event = "endpoint_limit_malformed", endpoint = %self.endpoint);
+            tracing::warn!(event = "endpoint_limit_malformed", endpoint = %self.endpoint, ?kind);
         }
         let mut limits = self.node.limits.lock();
         let (id, incarnation) = (&self.endpoint, self.incarnation);
-        let change = limits.record_response(id, incarnation, notice, self.started, now);
+        let change = limits.record_response(kind, id, incarnation, notice, self.started, now);
         drop(limits);
         if let Some(change) = change {
-            apply_limit_change(&self.node, id, change, NewsSource::Response);
+            apply_limit_change(&self.node, id, kind, change, NewsSource::Response);
         }
     }
 
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -40,7 +40,7 @@
         SendFailure::Rejected {
             misdirected: true, ..
         } => reservation.mark_draining(),
-        SendFailure::Rejected { .. } => reservation.record_failure_in_load(),
+        SendFailure::Rejected { .. } => reservation.record_rejected(),
         SendFailure::NotWritten(_) => reservation.record_unavailable_in_load(now),
         // The links of an entry that is cut off are the cause, not the endpoint or the request.
         SendFailure::MayHaveRun(_) if !node.reaches_endpoints() => {
--- a/entry/src/send_placement.rs
+++ b/entry/src/send_placement.rs
@@ -2,6 +2,7 @@
 //! permit if the endpoint has stated a rate limit, and reserves a slot there.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -9,10 +10,12 @@
 use crate::Choice;
 use crate::EndpointId;
 use crate::EndpointKey;
+use crate::LimitKind;
 use crate::Node;
 use crate::Occupancy;
 use crate::Permit;
 use crate::PlacementRequest;
+use crate::SendEnd;
 use crate::ServiceName;
 use crate::VersionFilter;
 use crate::VersionName;
@@ -139,9 +142,16 @@
     ) -> Option<Reservation> {
         let (endpoint, incarnation) = (&placement.endpoint, placement.incarnation);
         let ask = async |address, request| node.peers.request_permit(address, request).await;
-        let permit = acquire_permit(node, endpoint, incarnation, ask).await;
+        let time_left = self.request.deadline - Instant::now();
+        let permit = acquire_permit(node, endpoint, incarnation, time_left, ask).await;
         match permit {
-            Permit::Granted => self.reserve(node, placement, Instant::now()),
+            Permit::Granted => {
+                let reservation = self.reserve(node, placement, Instant::now());
+                if reservation.is_none() {
+                    return_permit(node, placement);
+                }
+                reservation
+            }
             Permit::After(wait) => {
                 let mut endpoints = node.endpoints.lock();
                 let endpoint = endpoints.get_mut(placement.key)?;
@@ -198,6 +208,8 @@
             max_output: self.request.call.prompt.as_ref().map(|p| p.max_output),
             side,
             rollout_number,
+            is_counted: is_counted(node, placement),
+            is_rejected: AtomicBool::new(false),
             started: now,
         })
     }
@@ -219,6 +231,25 @@
     }
 }
 
+/// Returns whether the owner of an endpoint's limit counts the requests that run there.
+fn is_counted(node: &Node, placement: &Placement) -> bool {
+    let limits = node.limits.lock();
+    let (endpoint, incarnation) = (&placement.endpoint, placement.incarnation);
+    let limit = limits.limit_of(LimitKind::Rejections, endpoint, incarnation);
+    limit.is_some()
+}
+
+/// Gives back a permit that is not used.
+fn return_permit(node: &Node, placement: &Placement) {
+    if is_counted(node, placement) {
+        node.report_end(SendEnd {
+            endpoint: placement.endpoint.clone(),
+            incarnation: placement.incarnation,
+            is_rejected: false,
+        });
+    }
+}
+
 /// Returns whether endpoints of versions other than `target` accept requests.
 fn has_old_endpoints(
     node: &Node,
--- a/entry/tests/test_limits.rs
+++ b/entry/tests/test_limits.rs
@@ -66,7 +66,12 @@
     let id = EndpointId::from(endpoint.as_str());
     let reports = sim.entries[2].node.limits.lock().reports(Instant::now());
     let limit = reports.into_iter().find(|r| r.endpoint == id).unwrap();
-    let request = PermitRequest { limit };
+    let request = PermitRequest {
+        limit,
+        other_limits: Vec::new(),
+        slots: 4,
+        time_left_ms: 1000,
+    };
     let granted = |entry: usize| {
         decide_permit(&sim.entries[entry].node, &request)
             .wait_ms
--- a/entry/tests/testutils/sim.rs
+++ b/entry/tests/testutils/sim.rs
@@ -9,18 +9,22 @@
 use hawthornrack_entry::EndpointId;
 use hawthornrack_entry::EntrySettings;
 use hawthornrack_entry::GossipRequest;
+use hawthornrack_entry::LimitKind;
 use hawthornrack_entry::LimitNotice;
 use hawthornrack_entry::Metrics;
 use hawthornrack_entry::Node;
 use hawthornrack_entry::Permit;
 use hawthornrack_entry::RateLimit;
 use hawthornrack_entry::RouteKind;
+use hawthornrack_entry::SendEnd;
 use hawthornrack_entry::acquire_permit;
+use hawthornrack_entry::apply_ends;
 use hawthornrack_entry::apply_news;
 use hawthornrack_entry::apply_reply;
 use hawthornrack_entry::decide_permit;
 use hawthornrack_entry::handle_exchange;
 use hawthornrack_entry::refresh_interval;
+use hawthornrack_entry::take_ends;
 use hawthornrack_entry::take_news;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::noop::NoopMeterProvider;
@@ -46,6 +50,9 @@
 /// Time for which requests are counted.
 pub const WINDOW: Duration = Duration::from_secs(4);
 
+/// Maximum time that a request runs.
+const MAX_RUN_TIME: Duration = Duration::from_secs(1);
+
 /// Number of random peers that an entry tells of a change.
 const FAN_OUT: usize = 8;
 
@@ -80,6 +87,15 @@
     pub demand: f64,
     arrivals: Vec<Arrival>,
     started: u16,
+    /// Rejections per second that the endpoint says it survives.
+    pub max_rejections: Option<f64>,
+    /// Number of requests that the endpoint runs at a time, and rejects others; 0 if it runs any.
+    pub slots: usize,
+    /// Ends of the running requests, with the entry that sent each.
+    running: Vec<(Instant, usize)>,
+    rejections: Vec<Instant>,
+    /// Number of requests that were not rejected, for an endpoint with slots.
+    pub served: usize,
 }
 
 impl Sim {
@@ -92,6 +108,11 @@
             demand,
             arrivals: Vec::new(),
             started: 0,
+            max_rejections: None,
+            slots: 0,
+            running: Vec::new(),
+            rejections: Vec::new(),
+            served: 0,
         };
         for _ in 0..entries {
             sim.start_entry();
@@ -135,6 +156,7 @@
         while Instant::now() < end {
             self.run_gossip();
             self.announce_changes();
+            self.end_requests();
             self.send_requests().await;
             tokio::time::advance(STEP).await;
         }
@@ -244,15 +266,74 @@
             let is_reached = self.reaches(own, owner);
             is_reached.then(|| decide_permit(&self.entries[owner].node, &request))
         };
-        match acquire_permit(&node, &id, 1, ask).await {
+        match acquire_permit(&node, &id, 1, MAX_RUN_TIME, ask).await {
             Permit::After(wait) => {
                 let mut endpoints = node.endpoints.lock();
                 endpoints.by_id_mut(&id).unwrap().load.hold(wait, now);
             }
+            Permit::Granted if self.slots > 0 => self.run_request(own, now),
             Permit::Granted => self.receive(own, now),
         }
     }
 
+    /// The endpoint runs a request if a slot is free and rejects it otherwise.
+    fn run_request(&mut self, own: usize, now: Instant) {
+        let is_rejected = self.running.len() >= self.slots;
+        if is_rejected {
+            self.rejections.push(now);
+            self.end_request(own, true);
+        } else {
+            self.served += 1;
+            let run_time = MAX_RUN_TIME.mul_f64(self.rng.random_range(0.05..0.5));
+            self.running.push((now + run_time, own));
+        }
+        self.receive(own, now);
+    }
+
+    fn end_request(&self, own: usize, is_rejected: bool) {
+        let node = &self.entries[own].node;
+        node.report_end(SendEnd {
+            endpoint: self.endpoint.clone(),
+            incarnation: 1,
+            is_rejected,
+        });
+    }
+
+    /// Ends the requests whose time is over, and tells the owner of the endpoint's limit.
+    fn end_requests(&mut self) {
+        let now = Instant::now();
+        let (ended, running) = self.running.iter().partition(|(end, _)| *end <= now);
+        self.running = running;
+        let ended: Vec<(Instant, usize)> = ended;
+        for (_, own) in ended {
+            self.end_request(own, false);
+        }
+        for own in 0..self.entries.len() {
+            if !self.entries[own].is_running {
+                continue;
+            }
+            for (address, ends) in take_ends(&self.entries[own].node, now) {
+                let owner = self.entry_at(address);
+                if self.reaches(own, owner) {
+                    apply_ends(&self.entries[owner].node, &ends);
+                }
+            }
+        }
+    }
+
+    /// Returns the maximum number of rejections within a second that starts at `from` or later.
+    pub fn max_rejections_in_a_second(&self, from: Instant) -> usize {
+        let counted = self.rejections.iter().filter(|at| **at >= from);
+        let times: Vec<Instant> = counted.copied().collect();
+        let counts = times.iter().enumerate().map(|(index, start)| {
+            let second = times[index..].iter();
+            second
+                .take_while(|at| **at < *start + Duration::from_secs(1))
+                .count()
+        });
+        counts.max().unwrap_or_default()
+    }
+
     /// The endpoint receives a request and responds at once.
     fn receive(&mut self, own: usize, now: Instant) {
         let excused_until = self.entries[own].excused_until;
@@ -260,11 +341,20 @@
             at: now,
             is_excused: excused_until.is_some_and(|until| now < until),
         });
-        let limit = self.limit.and_then(RateLimit::new);
+        self.hear(own, LimitKind::Requests, self.limit, now);
+        self.hear(own, LimitKind::Rejections, self.max_rejections, now);
+    }
+
+    /// An entry learns from a response what the endpoint says of a limit.
+    fn hear(&self, own: usize, kind: LimitKind, limit: Option<f64>, now: Instant) {
+        let limit = limit.and_then(RateLimit::new);
         let notice = limit.map_or(LimitNotice::Unlimited, LimitNotice::Limited);
         let node = &self.entries[own].node;
         let id = self.endpoint.clone();
-        let change = node.limits.lock().record_response(&id, 1, notice, now, now);
+        let change = node
+            .limits
+            .lock()
+            .record_response(kind, &id, 1, notice, now, now);
         if change.is_some() {
             node.endpoints
                 .lock()
