--- a/entry/tests/test_reach.rs
+++ b/entry/tests/test_reach.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -53,6 +54,15 @@
 /// Time that an endpoint takes for a request.
 const RUN_TIME: Duration = Duration::from_millis(20);
 
+/// Start of the ids of requests that take [`SLOW_RUN_TIME`].
+const SLOW: &str = "slow";
+
+/// Time that an endpoint takes for a slow request.
+const SLOW_RUN_TIME: Duration = Duration::from_secs(2);
+
+/// Time within which an endpoint stops to work for a caller that has left.
+const CANCEL_TIME: Duration = Duration::from_millis(500);
+
 /// Time from the start of a cut after which callers are served again.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -163,6 +173,22 @@
 #[derive(Debug, Default)]
 struct Endpoints {
     runs: Mutex<HashMap<String, u32>>,
+    /// Number of requests that were cancelled while they ran.
+    cancelled: AtomicUsize,
+}
+
+/// A request that runs at an endpoint; one that is dropped before its end counts as cancelled.
+struct Run {
+    endpoints: Arc<Endpoints>,
+    has_ended: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.endpoints.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Client of one entry, whose links to all endpoints can be cut.
@@ -192,8 +218,14 @@
             return Err(SendFailure::NotWritten("not established".to_owned()));
         }
         let id = dispatch.call.id.clone();
+        let is_slow = id.starts_with(SLOW);
         *self.endpoints.runs.lock().entry(id).or_default() += 1;
-        tokio::time::sleep(RUN_TIME).await;
+        let mut run = Run {
+            endpoints: Arc::clone(&self.endpoints),
+            has_ended: false,
+        };
+        tokio::time::sleep(if is_slow { SLOW_RUN_TIME } else { RUN_TIME }).await;
+        run.has_ended = true;
         Ok(EndpointResponse {
             status: 200,
             headers: HeaderMap::new(),
@@ -440,6 +472,59 @@
     assert_eq!(served, asked);
 }
 
+// Guards against endpoints that go on working for callers who have left: the asked entry closes the
+// connection to the peer, and the peer the one to the endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_reach_forwarded_request_is_cancelled_with_its_caller() {
+    let system = System::start(6, RouteKind::Once, 40).await;
+    system.cut(1, true);
+    system.entries[0]
+        .node
+        .reach
+        .lock()
+        .record_probe(false, Instant::now());
+    let SystemEntry { node, client } = system.entries[0].clone();
+    let request = tokio::spawn(async move { serve(&node, &client, call("slow-1")).await });
+    let endpoints = &system.endpoints;
+    while endpoints.runs.lock().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    request.abort();
+    let left = Instant::now();
+    while endpoints.cancelled.load(Ordering::Relaxed) == 0 {
+        assert!(left.elapsed() < CANCEL_TIME);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+// Guards against requests that are charged twice, or not at all, when a peer serves them, and against
+// ones that stay charged although they did not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_reach_forwarded_request_is_charged_once() {
+    let system = System::start(6, RouteKind::Once, 41).await;
+    system.cut(2, true);
+    let early = system.run(CONTACT_TIME, 2, "early").await;
+    system.cut(6, true);
+    let late = system.run(Duration::from_millis(500), 6, "late").await;
+    let served = early
+        .iter()
+        .chain(&late)
+        .filter(|s| s.status == 200)
+        .count();
+    let unknown = early.iter().chain(&late).filter(|s| s.status > 503).count();
+    assert_eq!(unknown, 0);
+    let charged: f64 = system
+        .entries
+        .iter()
+        .flat_map(|e| e.node.own_state().quota_totals().into_values())
+        .map(|totals| totals.admitted - totals.refunded)
+        .sum();
+    assert!(
+        (charged - served as f64).abs() < 0.5,
+        "{charged} for {served}"
+    );
+}
+
 // Guards against a directory that sends callers to entries that are cut off while others are not, or
 // that sends all callers to the few that are not.
 #[rstest]
