entry, platform: long files split, and no circle between attempts and outcomes

send_outcome used attempt for the admitted request and attempt used send_outcome; the admitted request has a module of its own now, and so has a single send.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -7,47 +7,26 @@
 use tokio::time::Instant;
 
 use crate::Branch;
-use crate::Call;
-use crate::Config;
-use crate::CustomerName;
-use crate::Dispatch;
 use crate::EndpointClient;
 use crate::EndpointKey;
 use crate::EndpointResponse;
 use crate::EntryName;
 use crate::FULL_SHARE_PERMILLE;
-use crate::Fingerprint;
-use crate::Interruption;
-use crate::MAX_IDLE_PER_SERVER;
 use crate::Node;
 use crate::Refusal;
 use crate::RefusalKind;
-use crate::Route;
 use crate::RouteKind;
 use crate::SendFailure;
 use crate::ServiceName;
-use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
-use crate::connection::idle_connection_share;
+use crate::admitted_request::AdmittedRequest;
 use crate::forward::MAX_UNREACHED_ENDPOINTS;
 use crate::forward::SentBody;
 use crate::forward::Way;
-use crate::prefill_time;
-use crate::reach_probe::apply_reach_change;
-use crate::reach_probe::probe_if_doubtful;
 use crate::reservation::Reservation;
 use crate::send_outcome::notice_of;
-use crate::send_outcome::outcome_name;
-use crate::send_outcome::record_reach;
 use crate::send_outcome::record_send_failure;
 use crate::shutdown::time_left_in_shutdown;
 
-/// Multiple of the objective after which a retryable request is sent to another endpoint.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
-
-/// Minimum time to wait for the head of a resumable stream's response before trying another
-/// endpoint.
-const MIN_STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Number of endpoints tried, including unreachable ones, after which a request that could not be
 /// written is refused.
 const MAX_TRIED_ENDPOINTS: usize = 5;
@@ -63,20 +42,6 @@
 /// further retry is allowed.
 pub(crate) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// An admitted request with its route, customer, priority and deadline.
-#[derive(Clone, Debug)]
-pub(crate) struct AdmittedRequest {
-    pub(crate) call: Arc<Call>,
-    pub(crate) config: Arc<Config>,
-    pub(crate) route: Route,
-    pub(crate) customer: Option<CustomerName>,
-    pub(crate) priority: u8,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) deadline: Instant,
-    /// Whether a peer has admitted, charged and forwarded the request.
-    pub(crate) is_forwarded: bool,
-}
-
 /// Response of an endpoint, received from it or through a peer.
 pub(crate) type SentResponse<E> = EndpointResponse<SentBody<<E as EndpointClient>::Body>>;
 
@@ -181,78 +146,6 @@
         }
     }
 
-    async fn send<E: EndpointClient>(
-        &mut self,
-        node: &Arc<Node>,
-        client: &Arc<E>,
-        reservation: &Reservation,
-    ) -> Result<EndpointResponse<E::Body>, SendFailure> {
-        let now = Instant::now();
-        self.tried.push(reservation.key);
-        self.sends += 1;
-        let request = &self.request;
-        let left = request.deadline.saturating_duration_since(now);
-        let limit = self.attempt_timeout(reservation).min(left);
-        let dispatch = Dispatch {
-            call: &request.call,
-            address: reservation.address,
-            endpoint: &reservation.endpoint,
-            customer: request.customer.as_ref(),
-            time_left: left,
-            priority: request.call.prompt.as_ref().map(|_| request.priority),
-            last_event: self.last_event,
-            max_idle: if request.route.kind.is_retryable() {
-                Duration::MAX
-            } else {
-                MAX_NON_RETRYABLE_IDLE_TIME
-            },
-            max_idle_connections: self.max_idle_connections(node),
-            stream: request.route.kind.is_stream(),
-        };
-        let change = node.reach.lock().record_send(&reservation.endpoint, now);
-        apply_reach_change(node, change);
-        probe_if_doubtful(node, client);
-        let response = tokio::time::timeout(limit, client.send(dispatch)).await;
-        let response = response.unwrap_or_else(|_elapsed| {
-            let reason = format!("no response within {} ms", limit.as_millis());
-            Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
-        });
-        node.metrics.record_send(outcome_name(&response));
-        record_reach(node, &reservation.endpoint, &response);
-        probe_if_doubtful(node, client);
-        response
-    }
-
-    /// Returns how many idle connections this entry may keep to an endpoint of the service.
-    fn max_idle_connections(&self, node: &Node) -> usize {
-        let services = &self.request.config.services;
-        let stated = services.get(&self.service).map(|s| s.max_connections);
-        // A service without a number states no limit.
-        let stated = stated.filter(|number| *number > 0);
-        stated.map_or(MAX_IDLE_PER_SERVER, |number| {
-            idle_connection_share(number, node.entry_count())
-        })
-    }
-
-    /// Returns the time after which this send is abandoned for another endpoint; unlimited for
-    /// the last attempt.
-    ///
-    /// For a resumable stream, three times the estimated prefill time is added.
-    fn attempt_timeout(&self, reservation: &Reservation) -> Duration {
-        let route = &self.request.route;
-        let last = self.sends >= route.attempts || !route.kind.is_retryable();
-        if last {
-            return Duration::MAX;
-        }
-        match route.kind {
-            RouteKind::ResumableStream => {
-                let prefill = prefill_time(reservation.occupancy.prefill) * 3;
-                (route.objective * ATTEMPT_TIMEOUT_FACTOR).max(MIN_STREAM_HEAD_TIMEOUT) + prefill
-            }
-            _ => route.objective * ATTEMPT_TIMEOUT_FACTOR,
-        }
-    }
-
     /// Returns whether a response is a server error that another endpoint may avoid.
     fn is_retryable_failure<B>(&self, response: &EndpointResponse<B>) -> bool {
         response.status >= 500 && self.kind().is_retryable()
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate is independent of any platform: it works on typed requests, configurations and
 //! endpoints. The platform's names and protocols are implemented by the crate that embeds it.
 
+mod admitted_request;
 mod attempt;
 mod baseline;
 mod brittle;
@@ -21,6 +22,7 @@
 mod endpoint_client;
 mod endpoint_load;
 mod endpoint_news;
+mod endpoint_record;
 mod endpoint_relay;
 mod endpoint_wait;
 mod endpoints;
@@ -66,6 +68,7 @@
 mod rollout_evidence;
 mod rollout_plan;
 mod rollout_survival;
+mod send;
 mod send_outcome;
 mod send_placement;
 mod serve;
@@ -134,6 +137,10 @@
 pub use endpoint_news::apply_limit_reports;
 pub use endpoint_news::apply_news;
 pub use endpoint_news::take_news;
+pub use endpoint_record::EndpointRecord;
+pub use endpoint_record::EndpointState;
+pub use endpoint_record::MAX_REVISION;
+pub use endpoint_record::RemovedEndpoint;
 pub use endpoint_relay::EndpointPage;
 pub use endpoint_relay::ListCursor;
 pub use endpoint_relay::ListRole;
@@ -141,11 +148,7 @@
 pub use endpoint_relay::is_list_supplied;
 pub use endpoint_relay::list_role;
 pub use endpoints::Endpoint;
-pub use endpoints::EndpointRecord;
-pub use endpoints::EndpointState;
 pub use endpoints::EndpointTable;
-pub use endpoints::MAX_REVISION;
-pub use endpoints::RemovedEndpoint;
 pub use endpoints::TableChange;
 pub use feed::Feed;
 pub use feed::FeedClient;
--- /dev/null
+++ b/entry/src/send.rs
@@ -0,0 +1,110 @@
+//! Sends a request to the endpoint that was reserved for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::Dispatch;
+use crate::EndpointClient;
+use crate::EndpointResponse;
+use crate::Interruption;
+use crate::MAX_IDLE_PER_SERVER;
+use crate::Node;
+use crate::RouteKind;
+use crate::SendFailure;
+use crate::attempt::Attempts;
+use crate::connection::MAX_NON_RETRYABLE_IDLE_TIME;
+use crate::connection::idle_connection_share;
+use crate::prefill_time;
+use crate::reach_probe::apply_reach_change;
+use crate::reach_probe::probe_if_doubtful;
+use crate::reservation::Reservation;
+use crate::send_outcome::outcome_name;
+use crate::send_outcome::record_reach;
+
+/// Multiple of the objective after which a retryable request is sent to another endpoint.
+const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
+
+/// Minimum time to wait for the head of a resumable stream's response before trying another
+/// endpoint.
+const MIN_STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1500);
+
+impl Attempts {
+    /// Sends the request once and waits for the response, or for a stream's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendFailure`] that tells whether the request may have run.
+    pub(crate) async fn send<E: EndpointClient>(
+        &mut self,
+        node: &Arc<Node>,
+        client: &Arc<E>,
+        reservation: &Reservation,
+    ) -> Result<EndpointResponse<E::Body>, SendFailure> {
+        let now = Instant::now();
+        self.tried.push(reservation.key);
+        self.sends += 1;
+        let request = &self.request;
+        let left = request.deadline.saturating_duration_since(now);
+        let limit = self.attempt_timeout(reservation).min(left);
+        let dispatch = Dispatch {
+            call: &request.call,
+            address: reservation.address,
+            endpoint: &reservation.endpoint,
+            customer: request.customer.as_ref(),
+            time_left: left,
+            priority: request.call.prompt.as_ref().map(|_| request.priority),
+            last_event: self.last_event,
+            max_idle: if request.route.kind.is_retryable() {
+                Duration::MAX
+            } else {
+                MAX_NON_RETRYABLE_IDLE_TIME
+            },
+            max_idle_connections: self.max_idle_connections(node),
+            stream: request.route.kind.is_stream(),
+        };
+        let change = node.reach.lock().record_send(&reservation.endpoint, now);
+        apply_reach_change(node, change);
+        probe_if_doubtful(node, client);
+        let response = tokio::time::timeout(limit, client.send(dispatch)).await;
+        let response = response.unwrap_or_else(|_elapsed| {
+            let reason = format!("no response within {} ms", limit.as_millis());
+            Err(SendFailure::MayHaveRun(Interruption::TimedOut(reason)))
+        });
+        node.metrics.record_send(outcome_name(&response));
+        record_reach(node, &reservation.endpoint, &response);
+        probe_if_doubtful(node, client);
+        response
+    }
+
+    /// Returns how many idle connections this entry may keep to an endpoint of the service.
+    fn max_idle_connections(&self, node: &Node) -> usize {
+        let services = &self.request.config.services;
+        let stated = services.get(&self.service).map(|s| s.max_connections);
+        // A service without a number states no limit.
+        let stated = stated.filter(|number| *number > 0);
+        stated.map_or(MAX_IDLE_PER_SERVER, |number| {
+            idle_connection_share(number, node.entry_count())
+        })
+    }
+
+    /// Returns the time after which this send is abandoned for another endpoint; unlimited for
+    /// the last attempt.
+    ///
+    /// For a resumable stream, three times the estimated prefill time is added.
+    fn attempt_timeout(&self, reservation: &Reservation) -> Duration {
+        let route = &self.request.route;
+        let last = self.sends >= route.attempts || !route.kind.is_retryable();
+        if last {
+            return Duration::MAX;
+        }
+        match route.kind {
+            RouteKind::ResumableStream => {
+                let prefill = prefill_time(reservation.occupancy.prefill) * 3;
+                (route.objective * ATTEMPT_TIMEOUT_FACTOR).max(MIN_STREAM_HEAD_TIMEOUT) + prefill
+            }
+            _ => route.objective * ATTEMPT_TIMEOUT_FACTOR,
+        }
+    }
+}
--- a/entry/src/send_outcome.rs
+++ b/entry/src/send_outcome.rs
@@ -9,7 +9,7 @@
 use crate::Interruption;
 use crate::Node;
 use crate::SendFailure;
-use crate::attempt::AdmittedRequest;
+use crate::admitted_request::AdmittedRequest;
 use crate::reach_probe::apply_reach_change;
 use crate::reservation::Reservation;
 
--- a/entry/src/serve.rs
+++ b/entry/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::RefusalKind;
 use crate::ResponseBody;
 use crate::Route;
-use crate::attempt::AdmittedRequest;
+use crate::admitted_request::AdmittedRequest;
 use crate::attempt::Attempts;
 use crate::attempt::SentResponse;
 use crate::forward_wire::ForwardHead;
