reach: an entry does not take itself for cut off while an endpoint is heard

A failed probe counts only if no endpoint was heard for half a second. Probes begin with endpoints that have not just failed, and none is probed again before all were, so that an entry that has heard from none finds the one that is up within ContactMs.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -20,8 +20,8 @@
 use crate::ServiceName;
 use crate::admitted_request::AdmittedRequest;
 use crate::forward::MAX_UNREACHED_ENDPOINTS;
+use crate::forward::SendPath;
 use crate::forward::SentBody;
-use crate::forward::Way;
 use crate::reservation::Reservation;
 use crate::send_outcome::notice_of;
 use crate::send_outcome::record_send_failure;
@@ -117,7 +117,7 @@
         client: &Arc<E>,
     ) -> Result<(SentResponse<E>, Option<Reservation>), Refusal> {
         loop {
-            if let Way::Through(peer) = self.choose_way(node)? {
+            if let SendPath::ThroughPeer(peer) = self.choose_path(node)? {
                 if let Some(response) = self.forward(node, peer).await? {
                     return Ok((response, None));
                 }
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -128,35 +128,35 @@
 
 /// How the next send of a request is made.
 #[derive(Debug)]
-pub(crate) enum Way {
+pub(crate) enum SendPath {
     /// To an endpoint.
     Direct,
     /// Through a peer.
-    Through(ForwardPeer),
+    ThroughPeer(ForwardPeer),
 }
 
 impl Attempts {
-    /// Returns whether the next send goes through a peer.
+    /// Returns whether the next send goes to an endpoint or through a peer.
     ///
     /// # Errors
     ///
     /// Returns the final refusal if this entry is cut off and no peer is left to try.
-    pub(crate) fn choose_way(&self, node: &Node) -> Result<Way, Refusal> {
+    pub(crate) fn choose_path(&self, node: &Node) -> Result<SendPath, Refusal> {
         let cut_since = node.reach.lock().cut_since();
         let is_unreached = self.unreached >= MAX_UNREACHED_ENDPOINTS;
         if self.is_forwarded() || (cut_since.is_none() && !is_unreached) {
-            return Ok(Way::Direct);
+            return Ok(SendPath::Direct);
         }
         let has_tries = self.tried_peers.len() < MAX_TRIED_PEERS;
         let peer = has_tries.then(|| self.choose_peer(node)).flatten();
         let is_hopeless = cut_since.is_some_and(|since| since.elapsed() >= HOPELESS_AFTER);
         match peer {
-            Some(peer) => Ok(Way::Through(peer)),
+            Some(peer) => Ok(SendPath::ThroughPeer(peer)),
             None if is_hopeless => {
                 let after = Some(NO_ENDPOINT_RETRY_AFTER);
                 Err(self.final_refusal(RefusalKind::NoEndpoint, after))
             }
-            None => Ok(Way::Direct),
+            None => Ok(SendPath::Direct),
         }
     }
 
--- a/entry/src/reach.rs
+++ b/entry/src/reach.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry may be cut off from all endpoints while callers, peers and the store still reach it. One
 //! failed send tells nothing of that. When several endpoints fail at the same time, the entry probes
-//! some of them with new connections; it counts as cut off if none is established, until one is.
+//! some of them with new connections; it counts as cut off if none is established and none is heard,
+//! until one is established.
 
 use std::time::Duration;
 
@@ -102,13 +103,22 @@
 
     /// Returns whether an endpoint was heard just now.
     pub(crate) fn is_sure(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.duration_since(at) < CONTACT_PERIOD;
-        self.cut_since.is_none() && self.last_contact.is_some_and(is_recent)
+        self.cut_since.is_none() && self.is_heard_within(CONTACT_PERIOD, now)
+    }
+
+    fn is_heard_within(&self, period: Duration, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.duration_since(at) < period;
+        self.last_contact.is_some_and(is_recent)
     }
 
     /// Records whether a probe has reached an endpoint; the probe goes on until it has.
+    ///
+    /// A failed probe is no sign of a cut while an endpoint is heard: most endpoints may be down.
     pub fn record_probe(&mut self, is_reached: bool, now: Instant) -> Option<ReachChange> {
         if !is_reached {
+            if self.is_heard_within(SILENCE, now) {
+                return None;
+            }
             let is_new = self.cut_since.is_none();
             self.cut_since.get_or_insert(now);
             return is_new.then_some(ReachChange::Lost);
--- a/entry/src/reach_probe.rs
+++ b/entry/src/reach_probe.rs
@@ -6,9 +6,11 @@
 
 use futures_util::StreamExt;
 use futures_util::stream;
+use indexmap::IndexSet;
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
+use crate::Endpoint;
 use crate::EndpointClient;
 use crate::Node;
 use crate::ReachChange;
@@ -38,7 +40,7 @@
         }
         reach.begin_check()
     };
-    let is_reached = probe_once(node, &**client).await;
+    let is_reached = Probe::default().run(node, &**client).await;
     if begins {
         record_probe(node, is_reached);
     }
@@ -49,8 +51,9 @@
 }
 
 async fn probe_until_reached<E: EndpointClient>(node: Arc<Node>, client: Arc<E>) {
+    let mut probe = Probe::default();
     loop {
-        let is_reached = probe_once(&node, &*client).await;
+        let is_reached = probe.run(&node, &*client).await;
         record_probe(&node, is_reached);
         if is_reached {
             return;
@@ -59,11 +62,46 @@
     }
 }
 
-/// Returns whether one of some random endpoints can be connected to.
-async fn probe_once<E: EndpointClient>(node: &Node, client: &E) -> bool {
-    let endpoints = sample_endpoints(node);
-    // Without an endpoint there is nothing to be cut off from.
-    endpoints.is_empty() || reaches_any(client, endpoints).await
+/// Probes of endpoints, each of another sample until all have been probed.
+#[derive(Debug, Default)]
+struct Probe {
+    probed: IndexSet<SocketAddr>,
+}
+
+impl Probe {
+    /// Returns whether one of some random endpoints can be connected to.
+    async fn run<E: EndpointClient>(&mut self, node: &Node, client: &E) -> bool {
+        let endpoints = self.sample_endpoints(node);
+        // Without an endpoint there is nothing to be cut off from.
+        endpoints.is_empty() || reaches_any(client, endpoints).await
+    }
+
+    /// Returns the addresses of random endpoints that take requests, first of those that have not
+    /// failed lately: while most endpoints are down, the others tell whether this entry is cut off.
+    fn sample_endpoints(&mut self, node: &Node) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let mut rng = rand::rng();
+        let endpoints = node.endpoints.lock();
+        let serving = endpoints.iter().map(|(_, endpoint)| endpoint);
+        let mut serving: Vec<&Endpoint> = serving.filter(|e| e.accepts_requests(now)).collect();
+        if serving
+            .iter()
+            .all(|e| self.probed.contains(&e.record.address))
+        {
+            self.probed.clear();
+        }
+        serving.retain(|e| !self.probed.contains(&e.record.address));
+        let (failed, others): (Vec<&Endpoint>, Vec<&Endpoint>) =
+            serving.into_iter().partition(|e| e.load.is_avoided(now));
+        let mut sample = others
+            .into_iter()
+            .choose_multiple(&mut rng, PROBED_ENDPOINTS);
+        let missing = PROBED_ENDPOINTS - sample.len();
+        sample.extend(failed.into_iter().choose_multiple(&mut rng, missing));
+        let addresses: Vec<SocketAddr> = sample.into_iter().map(|e| e.record.address).collect();
+        self.probed.extend(addresses.iter().copied());
+        addresses
+    }
 }
 
 fn record_probe(node: &Node, is_reached: bool) {
@@ -71,15 +109,6 @@
     apply_reach_change(node, change);
 }
 
-/// Returns the addresses of random endpoints that take requests.
-fn sample_endpoints(node: &Node) -> Vec<SocketAddr> {
-    let now = Instant::now();
-    let endpoints = node.endpoints.lock();
-    let serving = endpoints.iter().filter(|(_, e)| e.accepts_requests(now));
-    let addresses = serving.map(|(_, e)| e.record.address);
-    addresses.choose_multiple(&mut rand::rng(), PROBED_ENDPOINTS)
-}
-
 async fn reaches_any<E: EndpointClient>(client: &E, endpoints: Vec<SocketAddr>) -> bool {
     let probes = endpoints
         .into_iter()
--- a/entry/tests/test_reach.rs
+++ b/entry/tests/test_reach.rs
@@ -19,6 +19,7 @@
 use hawthornrack_entry::EndpointClient;
 use hawthornrack_entry::EndpointId;
 use hawthornrack_entry::EndpointNotice;
+use hawthornrack_entry::EndpointRecord;
 use hawthornrack_entry::EndpointResponse;
 use hawthornrack_entry::EntrySettings;
 use hawthornrack_entry::Interruption;
@@ -169,6 +170,64 @@
     }
 }
 
+/// Client of an entry in front of endpoints of which only one can be connected to.
+#[derive(Debug)]
+struct OneEndpointClient {
+    address: SocketAddr,
+}
+
+impl EndpointClient for OneEndpointClient {
+    type Body = ScriptedBody;
+
+    async fn can_connect(&self, address: SocketAddr) -> bool {
+        address == self.address
+    }
+
+    async fn send(
+        &self,
+        dispatch: Dispatch<'_>,
+    ) -> Result<EndpointResponse<ScriptedBody>, SendFailure> {
+        if dispatch.address != self.address {
+            return Err(SendFailure::NotWritten("refused".to_owned()));
+        }
+        Ok(response())
+    }
+}
+
+/// Returns a complete response.
+fn response() -> EndpointResponse<ScriptedBody> {
+    EndpointResponse {
+        status: 200,
+        headers: HeaderMap::new(),
+        body: ResponseBody::Whole(Bytes::from_static(b"answer")),
+        states_end: true,
+        closing: false,
+        notice: EndpointNotice::default(),
+    }
+}
+
+// Guards against an entry that takes itself for cut off while most endpoints are down: a probe of
+// those that have just failed tells nothing. One that has heard from none yet finds out in time.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn test_reach_is_kept_while_one_of_many_endpoints_is_up(#[values(0, 3, 7, 11, 15)] up: u16) {
+    let node = node(config(RouteKind::Idempotent), 0);
+    let records = (0..16_u16).map(|number| EndpointRecord {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + number)),
+        ..endpoint(&format!("e{number}"))
+    });
+    let now = Instant::now();
+    node.endpoints.lock().replace(records.collect(), now);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + up));
+    let client = Arc::new(OneEndpointClient { address });
+    for number in 0..100 {
+        serve(&node, &client, call(&format!("{number}"))).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let is_early = now.elapsed() < CONTACT_TIME;
+        assert!(is_early || node.reaches_endpoints(), "request {number}");
+    }
+}
+
 /// Endpoints of a simulated system and what ran there.
 #[derive(Debug, Default)]
 struct Endpoints {
@@ -226,14 +285,7 @@
         };
         tokio::time::sleep(if is_slow { SLOW_RUN_TIME } else { RUN_TIME }).await;
         run.has_ended = true;
-        Ok(EndpointResponse {
-            status: 200,
-            headers: HeaderMap::new(),
-            body: ResponseBody::Whole(Bytes::from_static(b"answer")),
-            states_end: true,
-            closing: false,
-            notice: EndpointNotice::default(),
-        })
+        Ok(response())
     }
 }
 
