review: streams of silent sound servers are cut in a planned stop

An entry that is being stopped gives up resumable streams after 1.2 s without an event and then does not resume them, though their servers go on. Shown: review/2/run.sh with real entries, a stand-in for the store and four stand-in servers.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each case uses its own part")]
 
 mod case1;
+mod case2;
 mod deployment;
 mod http;
 mod link;
@@ -20,6 +21,7 @@
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let code = match case.as_str() {
         "1" => case1::run(folder, with_trouble),
+        "2" => case2::run(folder, with_trouble),
         _ => 2,
     };
     ExitCode::from(code)
