review: both scripts as one site, and links that are really reset when they are cut

The first version of the links ended cut connections in order instead of by a reset; settings and routes are those of the same site now.

--- a/review/standin/case1.rs
+++ b/review/standin/case1.rs
@@ -20,7 +20,7 @@
 use crate::link::Link;
 use crate::store::Store;
 
-const ZONES: [&str; 4] = ["jos-north", "bukuru", "pankshin", "mangu"];
+const ZONES: [&str; 4] = ["hu-west-a", "hu-west-b", "hu-west-c", "hu-west-d"];
 
 /// Work of a large booking.
 const LARGE_WORK: Duration = Duration::from_millis(5600);
@@ -81,15 +81,15 @@
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"desk.example\",\"PathPrefix\":\"/{name}/\",\
-             \"RouteKind\":\"{kind}\",\"TimeoutMs\":{TIMEOUT_MS},\"SloMs\":150,\"Priority\":1,\
-             \"Service\":\"hire-desk\",\"MaxAttempts\":{attempts},\"Anonymous\":false}}"
+             \"RouteKind\":\"{kind}\",\"TimeoutMs\":{TIMEOUT_MS},\"SloMs\":300,\"Priority\":1,\
+             \"Service\":\"booking-app\",\"MaxAttempts\":{attempts},\"Anonymous\":false}}"
         )
     };
     format!(
-        "{{\"Version\":1,\"Routes\":[{},{}],\"Services\":[{{\"Name\":\"hire-desk\",\
-         \"HealthPath\":\"/healthz\",\"MaxConns\":110}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
+        "{{\"Version\":1,\"Routes\":[{},{}],\"Services\":[{{\"Name\":\"booking-app\",\
+         \"HealthPath\":\"/healthz\",\"MaxConns\":96}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
          \"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\
-         \"Tenants\":[{{\"Name\":\"kanem\",\"ApiKeys\":[\"key-of-kanem\"],\"RatePerS\":0,\"Burst\":0}}]}}",
+         \"Tenants\":[{{\"Name\":\"balaton\",\"ApiKeys\":[\"key-of-balaton\"],\"RatePerS\":0,\"Burst\":0}}]}}",
         route("booking", "non_idempotent", 1),
         route("lookup", "idempotent", 2),
     )
@@ -135,7 +135,7 @@
     for (number, zone) in ZONES.iter().enumerate() {
         let id = format!("i-{number}");
         let address = start_server(id.clone(), Arc::clone(&runs), record.clone());
-        store.put("keyed.servers", &id, &server_entry("hire-desk", address, zone, 6, 1));
+        store.put("keyed.servers", &id, &server_entry("booking-app", address, zone, 6, 1));
         let link = Link::start(address);
         view.push((address.to_string(), link.address.to_string()));
         links.push(link);
--- a/review/standin/case2.rs
+++ b/review/standin/case2.rs
@@ -129,8 +129,8 @@
      \"Resumable\":true,\"ItlTargetMs\":400}],\"Services\":[{\"Name\":\"tutor-llm\",\
      \"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Engine\":{\"Slots\":64,\"KvCapacity\":569166,\
      \"Stride\":6}}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\
-     \"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"kanem\",\
-     \"ApiKeys\":[\"key-of-kanem\"],\"RatePerS\":0,\"Burst\":0}]}"
+     \"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"balaton\",\
+     \"ApiKeys\":[\"key-of-balaton\"],\"RatePerS\":0,\"Burst\":0}]}"
         .to_owned()
 }
 
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -90,8 +90,8 @@
         };
         let settings = format!(
             "NodeName={name}\nRole=entry\nMachineClass=edge\nServes=edge,registry,control_plane\n\
-             Ip={ip}\nZone={zone}\nRegion=jos-plateau\nZones.jos-north=jos-plateau\n\
-             Zones.bukuru=jos-plateau\nZones.pankshin=jos-plateau\nZones.mangu=jos-plateau\n\
+             Ip={ip}\nZone={zone}\nRegion=hu-west\nZones.hu-west-a=hu-west\n\
+             Zones.hu-west-b=hu-west\nZones.hu-west-c=hu-west\nZones.hu-west-d=hu-west\n\
              Listen.Front={ip}:{front}\nListen.Readiness={ip}:{readiness}\n\
              Listen.Control={ip}:{control}\nListen.Directory={ip}:{directory}\n\
              InternalPorts={internal},{last}\nBootstrap=true\nLimits.MemoryMb=260\n\
@@ -99,7 +99,7 @@
              Bounds.SeedLagS=3\nBounds.ReuseAfterS=2\nBounds.ContactMs=3000\nBounds.AckMs=4000\n\
              Bounds.CatchUpS=4\nBounds.DrainMs=2000\nBounds.GraceS=8\nBounds.LossSlackMs=200\n\
              Bounds.ConfigApplyMs=2000\nBounds.DowngradeMs=250\nBounds.OuterBoundMs=5000\n\
-             Bounds.RetryRatio=0.2\nBounds.RetryWindowS=10\nBounds.RetrySlack=56\n\
+             Bounds.RetryRatio=0.2\nBounds.RetryWindowS=10\nBounds.RetrySlack=52\n\
              Bounds.QuotaWindowS=8\nBounds.RequireFence=true\nBounds.LeaseMs=3000\n\
              Bounds.WindowS=5\nBounds.UsageLateS=10\nBounds.ExposureShare=0.1\n\
              Bounds.ExposureSlack=50\nBounds.RollbackMs=5000\nPlatform.Address={store}\n\
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -183,7 +183,7 @@
 impl Call {
     fn encode(&self) -> Vec<u8> {
         let mut bytes = format!(
-            "{} {} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {}\r\nApi-Key: key-of-kanem\r\n\
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {}\r\nApi-Key: key-of-balaton\r\n\
              Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
             self.method,
             self.path,
--- a/review/standin/link.rs
+++ b/review/standin/link.rs
@@ -1,5 +1,6 @@
 //! A link to a server that can be cut: then new connections are refused and open ones are reset.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -7,7 +8,6 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -15,12 +15,14 @@
 
 use crate::http::reset_on_close;
 
+/// Time between two looks whether the link is cut.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A link; clones are the same link.
 #[derive(Clone)]
 pub struct Link {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Link {
@@ -29,7 +31,6 @@
         let link = Self {
             address: listener.local_addr().expect("an address"),
             is_cut: Arc::default(),
-            open: Arc::default(),
         };
         let running = link.clone();
         thread::spawn(move || running.run(listener, server));
@@ -39,12 +40,6 @@
     /// Cuts the link or restores it.
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::SeqCst);
-        if is_cut {
-            for stream in self.open.lock().unwrap().drain(..) {
-                reset_on_close(&stream);
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
     }
 
     fn run(&self, listener: TcpListener, server: SocketAddr) {
@@ -73,23 +68,39 @@
         };
         let _ = client.set_nodelay(true);
         let _ = server.set_nodelay(true);
-        let copies = [&client, &server].map(|s| s.try_clone().expect("a descriptor"));
-        self.open.lock().unwrap().extend(copies);
         let back = (server.try_clone(), client.try_clone());
-        thread::spawn(move || copy(client, server));
+        let is_cut = Arc::clone(&self.is_cut);
+        thread::spawn(move || copy(client, server, &is_cut));
         if let (Ok(server), Ok(client)) = back {
-            thread::spawn(move || copy(server, client));
+            let is_cut = Arc::clone(&self.is_cut);
+            thread::spawn(move || copy(server, client, &is_cut));
         }
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream) {
+/// Copies bytes until the connection ends; passes on how it ends, and resets it when the link is cut.
+fn copy(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
     let mut bytes = [0; 16 * 1024];
+    let _ = from.set_read_timeout(Some(CHECK_INTERVAL));
     loop {
-        let count = from.read(&mut bytes).unwrap_or(0);
+        if is_cut.load(Ordering::SeqCst) {
+            reset_on_close(&from);
+            reset_on_close(&to);
+            return;
+        }
+        let count = match from.read(&mut bytes) {
+            Ok(count) => count,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
+            Err(_) => {
+                reset_on_close(&to);
+                reset_on_close(&from);
+                // Wakes the other direction, which holds the same sockets.
+                let _ = from.shutdown(Shutdown::Both);
+                return;
+            }
+        };
         if count == 0 || to.write_all(&bytes[..count]).is_err() {
-            let _ = to.shutdown(Shutdown::Both);
-            let _ = from.shutdown(Shutdown::Both);
+            let _ = to.shutdown(Shutdown::Write);
             return;
         }
     }
