review: a server that sends interim heads without end stops a whole entry

While one of four servers answers with interim heads without end, all requests at the entry, and its readiness check, stay unanswered for seconds past the routes' time-out.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod deployment;
 mod http;
 mod link;
@@ -22,6 +23,7 @@
     let code = match case.as_str() {
         "1" => case1::run(folder, with_trouble),
         "2" => case2::run(folder, with_trouble),
+        "3" => case3::run(folder, with_trouble),
         _ => 2,
     };
     ExitCode::from(code)
