--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -64,16 +64,22 @@
     pub readiness: SocketAddr,
 }
 
-/// Returns a port that is free on an address, with the port after it.
-fn free_ports(ip: &str) -> u16 {
-    loop {
+/// Returns ports that are free on an address, each with the port after it.
+fn free_ports(ip: &str, count: usize) -> Vec<u16> {
+    // Kept until all are found, so that none is found twice.
+    let mut listeners = Vec::new();
+    let mut ports = Vec::new();
+    while ports.len() < count {
         let first = TcpListener::bind(format!("{ip}:0")).expect("a free port");
         let port = first.local_addr().expect("an address").port();
         let next = port.checked_add(1).map(|next| TcpListener::bind(format!("{ip}:{next}")));
-        if matches!(next, Some(Ok(_))) {
-            return port;
+        if let Some(Ok(next)) = next {
+            ports.push(port);
+            listeners.push(next);
         }
+        listeners.push(first);
     }
+    ports
 }
 
 impl Entry {
@@ -84,7 +90,7 @@
         let name = format!("edge-{zone}-{number}");
         let dir = std::env::temp_dir().join(format!("review-{id}-{number}"));
         fs::create_dir_all(&dir).expect("a temporary folder");
-        let ports: Vec<u16> = (0..5).map(|_| free_ports(&ip)).collect();
+        let ports = free_ports(&ip, 5);
         let [front, readiness, directory, control, internal] = ports[..] else {
             unreachable!("five ports");
         };
