--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/standin/main.rs -o target/review/standin
+rustc --edition 2024 -O review/standin.rs -o target/review/standin
