--- a/review/case3.rs
+++ b/review/case3.rs
@@ -1,4 +1,4 @@
-//! One server of four answers for some seconds with interim heads without end, until the entry closes.
+//! Two servers of four answer for some seconds with interim heads without end, until the entry closes.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -37,15 +37,16 @@
 const REQUESTS: u64 = 128;
 const PAUSE: Duration = Duration::from_millis(125);
 
-/// The request before which the server turns faulty, and for how long.
+/// Number of faulty servers, the request before which they turn faulty, and for how long.
+const FAULTY_SERVERS: usize = 2;
 const FAULTY_BEFORE: u64 = 24;
 const FAULTY_TIME: Duration = Duration::from_secs(6);
 
-/// What the faulty server sends in a second over all its connections, in bytes; the link of an entry's
+/// What the faulty servers send in a second, all connections together, in bytes; the link of an entry's
 /// machine takes 125,000,000.
 const BYTES_PER_S: f64 = 100e6;
 
-/// Bytes that the faulty server has sent since a time.
+/// Bytes that the faulty servers have sent since a time.
 struct Sent {
     since: Instant,
     bytes: f64,
@@ -72,7 +73,7 @@
 
     /// Sends interim heads until the entry closes the connection.
     fn answer(&self, stream: &mut TcpStream, attempt: &str) {
-        self.record.note(&format!("the faulty server begins to answer {attempt}"));
+        self.record.note(&format!("a faulty server begins to answer {attempt}"));
         let head = format!("HTTP/1.1 103 Early Hints\r\n{}\r\n", "a:\r\n".repeat(95));
         let heads = head.repeat(40);
         let mut total = 0;
@@ -184,7 +185,7 @@
     };
     for (number, zone) in ZONES.iter().enumerate() {
         let id = format!("i-{number}");
-        let address = start_server(id.clone(), (number == 0).then(|| faulty.clone()));
+        let address = start_server(id.clone(), (number < FAULTY_SERVERS).then(|| faulty.clone()));
         store.put("keyed.servers", &id, &server_entry("booking-app", address, zone, 6, 1));
     }
     let address = store.serve(Vec::new());
@@ -203,12 +204,12 @@
     let mut clients = Vec::new();
     for number in 0..REQUESTS {
         if with_trouble && number == FAULTY_BEFORE {
-            record.note("the faulty server's answers have no end from now on");
+            record.note("the answers of two servers have no end from now on");
             faulty.is_on.store(true, Ordering::SeqCst);
             let ending = faulty.clone();
             thread::spawn(move || {
                 thread::sleep(FAULTY_TIME);
-                ending.record.note("the faulty server is sound again");
+                ending.record.note("all servers are sound again");
                 ending.is_on.store(false, Ordering::SeqCst);
             });
         }
